--- /dev/null
+++ b/bench/src/main/java/io/fuchsiastand/bench/decisions/RightsExploration.java
@@ -0,0 +1,362 @@
+package io.fuchsiastand.bench.decisions;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.SplittableRandom;
+
+import io.fuchsiastand.limit.RightsTerms;
+import io.fuchsiastand.limit.ShardEntry;
+import io.fuchsiastand.limit.ShardRights;
+import io.fuchsiastand.limit.Share;
+import io.fuchsiastand.protocol.RenewReply;
+import io.fuchsiastand.protocol.RenewRequest;
+
+/**
+ * Runs the rights of one shard on three hosts and a platform through random schedules: messages are lost, late, doubled
+ * and reordered, links are cut one way, processes pause, crash, restart and leave, the platform is away, and its answers
+ * are lost after a write took effect, also when the writer has died meanwhile. After each step it checks that no half
+ * of the shard is used twice.
+ */
+public final class RightsExploration {
+
+    private static final RightsTerms TERMS = new RightsTerms(
+            Duration.ofSeconds(20),
+            Duration.ofMillis(1500),
+            Duration.ofSeconds(3),
+            Duration.ofSeconds(8),
+            Duration.ofMinutes(30));
+    private static final String[] HOSTS = {"a", "b", "c"};
+    private static final long MILLI = 1_000_000;
+    private static final long TICK = 500 * MILLI;
+    private static final long STEP = 100 * MILLI;
+
+    private final SplittableRandom random;
+    private final Faults faults;
+    private final PriorityQueue<Event> events =
+            new PriorityQueue<>(Comparator.comparingLong(Event::at).thenComparingLong(Event::number));
+    private final Process[] processes = new Process[HOSTS.length];
+    private final long[] clockOffsets = new long[HOSTS.length];
+    private final boolean[][] cut = new boolean[HOSTS.length][HOSTS.length];
+    private final boolean[] platformCut = new boolean[HOSTS.length];
+    private ShardEntry table = new ShardEntry(0, 1, "a", "b", false, List.of(), List.of());
+    private long now;
+    private long numbers;
+    private long steps;
+    private long usable;
+    private String violation;
+
+    /**
+     * How often faults strike.
+     *
+     * @param loss share of messages that are lost
+     * @param doubled share of messages that arrive twice
+     * @param events faults of hosts, links and the platform, per second
+     */
+    public record Faults(double loss, double doubled, double events) {
+
+        /** No fault. */
+        public static final Faults NONE = new Faults(0, 0, 0);
+        /** Faults of all kinds, far more often than in production. */
+        public static final Faults HEAVY = new Faults(0.15, 0.1, 0.2);
+    }
+
+    /**
+     * The outcome of one schedule.
+     *
+     * @param steps moments that were checked
+     * @param usableShare the mean share of the rights that some daemon could use, 0 to 1
+     * @param violation what went wrong, or null
+     */
+    public record Outcome(long steps, double usableShare, String violation) {}
+
+    private record Event(long at, long number, Runnable action) {}
+
+    /** One process of a daemon; a restart makes a new one on the same host. */
+    private static final class Process {
+        private final int host;
+        private final long start;
+        private final ShardRights rights;
+        private long pausedUntil;
+        private boolean awaitsPlatform;
+        private boolean leaving;
+
+        private Process(int host, long start) {
+            this.host = host;
+            this.start = start;
+            rights = new ShardRights(HOSTS[host], start, 0, TERMS);
+        }
+    }
+
+    private RightsExploration(long seed, Faults faults) {
+        random = new SplittableRandom(seed);
+        this.faults = faults;
+    }
+
+    /**
+     * Runs one schedule.
+     *
+     * @param seed the seed of all random choices
+     * @param faults how often faults strike
+     * @param length virtual time to run
+     * @return the outcome
+     */
+    public static Outcome run(long seed, Faults faults, Duration length) {
+        return new RightsExploration(seed, faults).run(length);
+    }
+
+    private Outcome run(Duration length) {
+        for (int h = 0; h < HOSTS.length; h++) {
+            clockOffsets[h] = Duration.ofHours(random.nextInt(1, 1000)).toNanos();
+            boot(h);
+        }
+        for (long t = STEP; t < length.toNanos() && violation == null; t += STEP) {
+            long at = t;
+            schedule(at, this::injectFault);
+        }
+        while (!events.isEmpty() && violation == null && now < length.toNanos()) {
+            Event e = events.poll();
+            now = e.at();
+            e.action().run();
+            check();
+        }
+        return new Outcome(steps, usable / (2.0 * Math.max(1, steps)), violation);
+    }
+
+    private void boot(int h) {
+        Process p = new Process(h, 1 + now / MILLI);
+        processes[h] = p;
+        tick(p);
+    }
+
+    private void tick(Process p) {
+        whenRunning(p, () -> {
+            ShardRights r = p.rights;
+            pollPlatform(p);
+            long t = local(p);
+            r.renew(t).ifPresent(q -> send(p, q));
+            if (!p.awaitsPlatform && (r.isClaimDue(t) || isRecruiting(r) || r.isSettlingDue(t))) {
+                write(p, r.beginClaim(chooseStandby(p), t));
+            }
+            schedule(now + TICK, () -> tick(p));
+        });
+    }
+
+    private boolean isRecruiting(ShardRights r) {
+        return r.isSole() && random.nextInt(4) == 0;
+    }
+
+    private String chooseStandby(Process p) {
+        int other = random.nextInt(HOSTS.length + 1);
+        return other == HOSTS.length || other == p.host ? "" : HOSTS[other];
+    }
+
+    // A watch: the row arrives late, or not at all while the host is cut off from the platform.
+    private void pollPlatform(Process p) {
+        if (platformCut[p.host] || lost()) {
+            return;
+        }
+        long asked = local(p);
+        schedule(now + delay(), () -> {
+            ShardEntry seen = table;
+            schedule(
+                    now + delay(),
+                    () -> whenRunning(p, () -> {
+                        p.rights.learn(seen, local(p));
+                        p.rights.confirm(seen.epoch(), asked);
+                    }));
+        });
+    }
+
+    private void write(Process p, ShardEntry row) {
+        p.awaitsPlatform = true;
+        boolean arrives = !platformCut[p.host] && !lost();
+        if (arrives) {
+            // The write may take effect long after its writer has died.
+            long late = random.nextInt(20) == 0
+                    ? Duration.ofSeconds(random.nextInt(30)).toNanos()
+                    : 0;
+            schedule(now + delay() + late, () -> {
+                boolean written = table.epoch() + 1 == row.epoch();
+                if (written) {
+                    table = row;
+                }
+                if (!lost()) {
+                    schedule(now + delay(), () -> resolve(p, row));
+                }
+            });
+        }
+        schedule(now + Duration.ofSeconds(60).toNanos(), () -> resolve(p, row));
+    }
+
+    // Reads the row back until the platform answers, as the platform client does.
+    private void resolve(Process p, ShardEntry row) {
+        whenRunning(p, () -> {
+            if (!p.awaitsPlatform || platformCut[p.host]) {
+                if (p.awaitsPlatform) {
+                    schedule(now + TICK, () -> resolve(p, row));
+                }
+                return;
+            }
+            p.awaitsPlatform = false;
+            if (table.equals(row)) {
+                p.rights.claimed(row, local(p));
+            } else if (table.epoch() >= row.epoch()) {
+                p.rights.learn(table, local(p));
+            }
+        });
+    }
+
+    private void send(Process p, RenewRequest q) {
+        int to = hostOf(p.rights.entry().partnerOf(HOSTS[p.host]));
+        for (int i = 0; i < copies(); i++) {
+            if (!cut[p.host][to] && !lost()) {
+                schedule(now + delay(), () -> receive(p, to, q));
+            }
+        }
+    }
+
+    private void receive(Process from, int to, RenewRequest q) {
+        Process p = processes[to];
+        whenRunning(p, () -> {
+            RenewReply reply = p.rights.answer(HOSTS[from.host], from.start, q, local(p));
+            for (int i = 0; i < copies(); i++) {
+                if (!cut[to][from.host] && !lost()) {
+                    schedule(
+                            now + delay(),
+                            () -> whenRunning(from, () -> from.rights.accept(p.start, reply, local(from))));
+                }
+            }
+        });
+    }
+
+    private void injectFault() {
+        if (random.nextDouble() >= faults.events() * STEP / 1e9) {
+            return;
+        }
+        int h = random.nextInt(HOSTS.length);
+        int other = random.nextInt(HOSTS.length);
+        Process p = processes[h];
+        switch (random.nextInt(7)) {
+            case 0 -> cutLink(h, other);
+            case 1 -> pause(p, Duration.ofSeconds(random.nextInt(40)));
+            case 2 -> restart(h, Duration.ofMillis(random.nextInt(1, 30_000)));
+            case 3 -> leave(h);
+            case 4 -> cutPlatform(h);
+            case 5 -> {
+                for (int i = 0; i < HOSTS.length; i++) {
+                    cutPlatform(i);
+                }
+            }
+            default -> {
+                cutLink(h, other);
+                cutLink(other, h);
+            }
+        }
+    }
+
+    private void pause(Process p, Duration length) {
+        if (p.pausedUntil != Long.MAX_VALUE) {
+            p.pausedUntil = now + length.toNanos();
+        }
+    }
+
+    private void cutLink(int from, int to) {
+        cut[from][to] = true;
+        schedule(now + outage(), () -> cut[from][to] = false);
+    }
+
+    private void cutPlatform(int h) {
+        platformCut[h] = true;
+        schedule(now + outage(), () -> platformCut[h] = false);
+    }
+
+    private long outage() {
+        return Duration.ofMillis(random.nextInt(200, 60_000)).toNanos();
+    }
+
+    private void restart(int h, Duration gap) {
+        Process dead = processes[h];
+        if (dead.pausedUntil == Long.MAX_VALUE) {
+            return;
+        }
+        dead.pausedUntil = Long.MAX_VALUE;
+        schedule(now + gap.toNanos(), () -> boot(h));
+    }
+
+    private void leave(int h) {
+        Process p = processes[h];
+        whenRunning(p, () -> {
+            if (!p.leaving && processes[h] == p) {
+                p.leaving = true;
+                p.rights.release(local(p)).ifPresent(q -> send(p, q));
+                restart(h, Duration.ofMillis(random.nextInt(1, 20_000)));
+            }
+        });
+    }
+
+    // A paused process goes on with what it was doing; a dead one never does.
+    private void whenRunning(Process p, Runnable action) {
+        if (p.pausedUntil == Long.MAX_VALUE) {
+            return;
+        }
+        if (now < p.pausedUntil) {
+            schedule(p.pausedUntil, () -> whenRunning(p, action));
+        } else {
+            action.run();
+        }
+    }
+
+    private void check() {
+        steps++;
+        int users = 0;
+        Set<String> granting = new HashSet<>();
+        for (Process p : new ArrayList<>(List.of(processes))) {
+            if (now < p.pausedUntil) {
+                continue;
+            }
+            Share s = p.rights.share(local(p));
+            users += s.halves();
+            if (s.halves() > 0) {
+                granting.add(HOSTS[p.host] + s.halves() + "@" + p.rights.entry().epoch());
+            }
+        }
+        usable += Math.min(2, users);
+        if (users > 2) {
+            violation = "at " + now / MILLI + " ms the halves in use are " + granting + ", table " + table;
+        }
+    }
+
+    private long local(Process p) {
+        return now + clockOffsets[p.host];
+    }
+
+    private long delay() {
+        return random.nextInt(10) == 0 ? random.nextInt(1, 3000) * MILLI : random.nextInt(1, 5) * MILLI;
+    }
+
+    private boolean lost() {
+        return random.nextDouble() < faults.loss();
+    }
+
+    private int copies() {
+        return random.nextDouble() < faults.doubled() ? 2 : 1;
+    }
+
+    private void schedule(long at, Runnable action) {
+        events.add(new Event(at, numbers++, action));
+    }
+
+    private static int hostOf(String name) {
+        for (int i = 0; i < HOSTS.length; i++) {
+            if (HOSTS[i].equals(name)) {
+                return i;
+            }
+        }
+        throw new IllegalArgumentException(name);
+    }
+}
--- /dev/null
+++ b/bench/src/test/java/io/fuchsiastand/bench/decisions/RightsExplorationTest.java
@@ -0,0 +1,41 @@
+package io.fuchsiastand.bench.decisions;
+
+import java.time.Duration;
+import java.util.stream.LongStream;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class RightsExplorationTest {
+
+    private static final Duration LENGTH = Duration.ofMinutes(10);
+
+    @Test
+    void neverUsesAHalfTwiceUnderRandomFaults() {
+        LongStream.range(0, 800).parallel().forEach(this::checkSeed);
+    }
+
+    // Schedules that broke earlier versions of the protocol: a write of a dead process that took effect late, and a
+    // restarted standby that renewed rights of an epoch that its predecessor had ended.
+    @ParameterizedTest
+    @ValueSource(longs = {2656, 10711})
+    void neverUsesAHalfTwiceUnderFormerlyBadSchedules(long seed) {
+        checkSeed(seed);
+    }
+
+    @Test
+    void keepsTheWholeRightInUseWithoutFaults() {
+        RightsExploration.Outcome o = RightsExploration.run(1, RightsExploration.Faults.NONE, LENGTH);
+        assertThat(o.violation()).isNull();
+        assertThat(o.usableShare()).isAtLeast(0.98);
+    }
+
+    private void checkSeed(long seed) {
+        assertThat(RightsExploration.run(seed, RightsExploration.Faults.HEAVY, LENGTH)
+                        .violation())
+                .isNull();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/fuchsiastand/config/Configuration.java
@@ -0,0 +1,125 @@
+package io.fuchsiastand.config;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+/**
+ * One numbered version of the two lists that operators edit.
+ *
+ * @param version the number; daemons never go back to a lower one
+ * @param services the services by name
+ * @param plans the plans by name
+ * @param teams the teams by name
+ */
+public record Configuration(
+        long version, Map<String, Service> services, Map<String, Plan> plans, Map<String, Team> teams) {
+
+    /** The configuration before any was accepted. */
+    public static final Configuration EMPTY = builder().build();
+
+    /** Copies the maps. */
+    public Configuration {
+        services = Map.copyOf(services);
+        plans = Map.copyOf(plans);
+        teams = Map.copyOf(teams);
+    }
+
+    /**
+     * Finds what a team may use of a service.
+     *
+     * @param team the name of the team
+     * @param service the name of the service
+     * @return the allowance, or nothing if the team is unknown or its plan does not include the service
+     */
+    public Optional<Allowance> allowance(String team, String service) {
+        Team t = teams.get(team);
+        if (t == null) {
+            return Optional.empty();
+        }
+        Plan p = plans.get(t.plan());
+        return p == null ? Optional.empty() : Optional.ofNullable(p.allowances().get(service));
+    }
+
+    /**
+     * Returns the same lists under another number.
+     *
+     * @param number the version
+     * @return the numbered configuration
+     */
+    public Configuration withVersion(long number) {
+        return new Configuration(number, services, plans, teams);
+    }
+
+    /**
+     * Returns a builder.
+     *
+     * @return an empty builder of version 0
+     */
+    public static Builder builder() {
+        return new Builder();
+    }
+
+    /** Builds a configuration. */
+    public static final class Builder {
+        private final Map<String, Service> services = new TreeMap<>();
+        private final Map<String, Plan> plans = new TreeMap<>();
+        private final Map<String, Team> teams = new TreeMap<>();
+        private long version;
+
+        private Builder() {}
+
+        /**
+         * Sets the version.
+         *
+         * @param number the version
+         * @return this
+         */
+        public Builder version(long number) {
+            version = number;
+            return this;
+        }
+
+        /**
+         * Adds a service.
+         *
+         * @param service the service
+         * @return this
+         */
+        public Builder service(Service service) {
+            services.put(service.name(), service);
+            return this;
+        }
+
+        /**
+         * Adds a plan.
+         *
+         * @param plan the plan
+         * @return this
+         */
+        public Builder plan(Plan plan) {
+            plans.put(plan.name(), plan);
+            return this;
+        }
+
+        /**
+         * Adds a team.
+         *
+         * @param team the team
+         * @return this
+         */
+        public Builder team(Team team) {
+            teams.put(team.name(), team);
+            return this;
+        }
+
+        /**
+         * Builds the configuration.
+         *
+         * @return the configuration, unchecked
+         */
+        public Configuration build() {
+            return new Configuration(version, services, plans, teams);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/fuchsiastand/config/ConfigurationReader.java
@@ -0,0 +1,176 @@
+package io.fuchsiastand.config;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.OptionalDouble;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+/**
+ * Reads and checks the two lists of operators: the teams with their plans, and what each plan may use. All faults of
+ * both files are reported together.
+ */
+public final class ConfigurationReader {
+
+    private static final double MOST_RATE = 1_000_000;
+    private static final int MOST_QUEUE = 10_000;
+    private static final String NAME = "[A-Za-z0-9][A-Za-z0-9_\\-]{0,62}";
+    private static final Map<String, Detection> DETECTIONS =
+            new TreeMap<>(Map.of("careful", Detection.CAREFUL, "fast", Detection.FAST));
+    private static final Map<String, Idempotency> IDEMPOTENCIES = new TreeMap<>(
+            Map.of("by-method", Idempotency.BY_METHOD, "always", Idempotency.ALWAYS, "never", Idempotency.NEVER));
+
+    private final TomlFile teamsFile;
+    private final TomlFile plansFile;
+    private final Configuration.Builder builder = Configuration.builder();
+    private final Map<String, String> routeOwners = new HashMap<>();
+    private final Set<String> services = new TreeSet<>();
+    private final Set<String> plans = new TreeSet<>();
+
+    private ConfigurationReader(TomlFile teamsFile, TomlFile plansFile) {
+        this.teamsFile = teamsFile;
+        this.plansFile = plansFile;
+    }
+
+    /**
+     * The outcome of reading: the configuration, of use only if there are no problems.
+     *
+     * @param configuration what was read, with version 0
+     * @param problems all faults of both files
+     */
+    public record Result(Configuration configuration, List<Problem> problems) {}
+
+    /**
+     * Reads the two lists.
+     *
+     * @param teamsFile the list of teams and their plans
+     * @param plansFile the list of services and of what each plan may use
+     * @return the configuration and the faults found
+     */
+    public static Result read(TomlFile teamsFile, TomlFile plansFile) {
+        return new ConfigurationReader(teamsFile, plansFile).read();
+    }
+
+    private Result read() {
+        if (plansFile.problems().isEmpty()) {
+            readPlansFile();
+        }
+        if (teamsFile.problems().isEmpty() && plansFile.problems().isEmpty()) {
+            readTeams();
+        }
+        List<Problem> problems = new ArrayList<>(plansFile.problems());
+        problems.addAll(teamsFile.problems());
+        return new Result(builder.build(), problems);
+    }
+
+    private void readPlansFile() {
+        JsonNode root = plansFile.root();
+        plansFile.checkKeys("", root, new TreeSet<>(Set.of("services", "plans")));
+        plansFile.table("", root, "services").fields().forEachRemaining(e -> readService(e.getKey(), e.getValue()));
+        plansFile.table("", root, "plans").fields().forEachRemaining(e -> readPlan(e.getKey(), e.getValue()));
+        if (services.isEmpty()) {
+            plansFile.fault("", "there is no service; add a table such as [services.menu]");
+        }
+    }
+
+    private void readService(String name, JsonNode table) {
+        String path = "services." + name;
+        services.add(name);
+        if (!isNameValid(plansFile, path, name)) {
+            return;
+        }
+        plansFile.checkKeys(path, table, new TreeSet<>(Set.of("floor", "timeout", "queue", "detection", "routes")));
+        List<Route> routes = new ArrayList<>();
+        JsonNode list = table.path("routes");
+        for (int i = 0; i < list.size(); i++) {
+            routes.add(readRoute(name, path + ".routes." + i, list.get(i)));
+        }
+        if (routes.isEmpty()) {
+            plansFile.fault(path, "service '" + name + "' has no route");
+        }
+        builder.service(new Service(
+                name,
+                plansFile.number(path, table, "floor", OptionalDouble.of(Service.DEFAULT_FLOOR), 0, 1),
+                plansFile.duration(path, table, "timeout", Service.DEFAULT_TIMEOUT),
+                (int) plansFile.number(path, table, "queue", OptionalDouble.of(Service.DEFAULT_QUEUE), 0, MOST_QUEUE),
+                plansFile.choice(path, table, "detection", DETECTIONS, Detection.CAREFUL),
+                routes));
+    }
+
+    private Route readRoute(String service, String path, JsonNode table) {
+        plansFile.checkKeys(path, table, new TreeSet<>(Set.of("host", "path", "open", "idempotent")));
+        String host = plansFile.text(path, table, "host", Route.ANY_HOST).toLowerCase(Locale.ROOT);
+        String prefix = plansFile.text(path, table, "path", null);
+        if (prefix == null) {
+            prefix = "/";
+        } else if (!prefix.startsWith("/") || prefix.contains("//") || prefix.contains("/.") || prefix.contains("%")) {
+            plansFile.fault(path + ".path", "'path' must start with / and be normalised");
+        }
+        if (prefix.length() > 1 && prefix.endsWith("/")) {
+            prefix = prefix.substring(0, prefix.length() - 1);
+        }
+        String owner = routeOwners.putIfAbsent(host + prefix, service);
+        if (owner != null) {
+            plansFile.fault(path, "route " + host + prefix + " is also a route of service '" + owner + "'");
+        }
+        return new Route(
+                host,
+                prefix,
+                plansFile.flag(path, table, "open", false),
+                plansFile.choice(path, table, "idempotent", IDEMPOTENCIES, Idempotency.BY_METHOD));
+    }
+
+    private void readPlan(String name, JsonNode table) {
+        String path = "plans." + name;
+        plans.add(name);
+        if (!isNameValid(plansFile, path, name)) {
+            return;
+        }
+        Map<String, Allowance> allowances = new TreeMap<>();
+        if (!table.isObject() || table.isEmpty()) {
+            plansFile.fault(path, "plan '" + name + "' has no service");
+        }
+        table.fields().forEachRemaining(e -> {
+            String p = path + "." + e.getKey();
+            if (!services.contains(e.getKey())) {
+                plansFile.fault(p, "plan '" + name + "' names an unknown service '" + e.getKey() + "'");
+            }
+            plansFile.checkKeys(p, e.getValue(), new TreeSet<>(Set.of("rate", "burst")));
+            double rate = plansFile.number(p, e.getValue(), "rate", OptionalDouble.empty(), 0, MOST_RATE);
+            double burst = plansFile.number(p, e.getValue(), "burst", OptionalDouble.empty(), 1, MOST_RATE);
+            allowances.put(e.getKey(), new Allowance(rate, burst));
+        });
+        builder.plan(new Plan(name, allowances));
+    }
+
+    private void readTeams() {
+        JsonNode root = teamsFile.root();
+        teamsFile.checkKeys("", root, Set.of("teams"));
+        teamsFile.table("", root, "teams").fields().forEachRemaining(e -> {
+            String path = "teams." + e.getKey();
+            if (!isNameValid(teamsFile, path, e.getKey())) {
+                return;
+            }
+            teamsFile.checkKeys(path, e.getValue(), Set.of("plan"));
+            String plan = teamsFile.text(path, e.getValue(), "plan", null);
+            if (plan != null && !plans.contains(plan)) {
+                teamsFile.fault(path + ".plan", "team '" + e.getKey() + "' has an unknown plan '" + plan + "'");
+            }
+            builder.team(new Team(e.getKey(), plan == null ? "" : plan));
+        });
+    }
+
+    private static boolean isNameValid(TomlFile file, String path, String name) {
+        if (name.matches(NAME)) {
+            return true;
+        }
+        file.fault(path, "name '" + name + "' must be of letters, digits, - and _, 63 at most");
+        return false;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/fuchsiastand/config/Idempotency.java
@@ -0,0 +1,34 @@
+package io.fuchsiastand.config;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+
+/** Says which requests of a route are idempotent. */
+public enum Idempotency {
+    /** By the method: GET, HEAD, OPTIONS, PUT and DELETE are idempotent (RFC 9110, section 9.2.2). */
+    @JsonProperty("by-method")
+    BY_METHOD,
+    /** Every request of the route is idempotent. */
+    @JsonProperty("always")
+    ALWAYS,
+    /** No request of the route is idempotent. */
+    @JsonProperty("never")
+    NEVER;
+
+    /**
+     * Tells whether a request may be sent more than once.
+     *
+     * @param method the HTTP method in capitals
+     * @return true if the request is idempotent
+     */
+    public boolean isIdempotent(String method) {
+        return switch (this) {
+            case ALWAYS -> true;
+            case NEVER -> false;
+            case BY_METHOD ->
+                switch (method) {
+                    case "GET", "HEAD", "OPTIONS", "PUT", "DELETE" -> true;
+                    default -> false;
+                };
+        };
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/fuchsiastand/config/Json.java
@@ -0,0 +1,74 @@
+package io.fuchsiastand.config;
+
+import java.io.IOException;
+
+import com.fasterxml.jackson.annotation.JsonInclude;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.SerializationFeature;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.datatype.jsr310.JavaTimeModule;
+import io.fuchsiastand.error.ErrorCode;
+import io.fuchsiastand.error.FuchsiastandException;
+
+/** Reads and writes records as JSON. */
+public final class Json {
+
+    private static final ObjectMapper MAPPER = JsonMapper.builder()
+            .addModule(new JavaTimeModule())
+            .disable(SerializationFeature.WRITE_DATES_AS_TIMESTAMPS)
+            .disable(SerializationFeature.WRITE_DURATIONS_AS_TIMESTAMPS)
+            // Immutable maps iterate in an order that differs between processes; digests need one order.
+            .enable(SerializationFeature.ORDER_MAP_ENTRIES_BY_KEYS)
+            .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+            .serializationInclusion(JsonInclude.Include.NON_NULL)
+            .build();
+
+    private Json() {}
+
+    /**
+     * Writes a value.
+     *
+     * @param value a record or another value that maps to JSON
+     * @return UTF-8 bytes
+     */
+    public static byte[] write(Object value) {
+        try {
+            return MAPPER.writeValueAsBytes(value);
+        } catch (JsonProcessingException e) {
+            throw new IllegalArgumentException("not a JSON value: " + value.getClass(), e);
+        }
+    }
+
+    /**
+     * Writes a value on several lines.
+     *
+     * @param value a record or another value that maps to JSON
+     * @return the text
+     */
+    public static String pretty(Object value) {
+        try {
+            return MAPPER.writerWithDefaultPrettyPrinter().writeValueAsString(value);
+        } catch (JsonProcessingException e) {
+            throw new IllegalArgumentException("not a JSON value: " + value.getClass(), e);
+        }
+    }
+
+    /**
+     * Reads a value.
+     *
+     * @param bytes UTF-8 bytes
+     * @param type the type of the value
+     * @param <T> the type of the value
+     * @return the value
+     * @throws FuchsiastandException with {@link ErrorCode#CORRUPT} if the bytes are not such a value
+     */
+    public static <T> T read(byte[] bytes, Class<T> type) {
+        try {
+            return MAPPER.readValue(bytes, type);
+        } catch (IOException e) {
+            throw new FuchsiastandException(ErrorCode.CORRUPT, "not a " + type.getSimpleName(), e);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/fuchsiastand/health/BackendHealth.java
@@ -0,0 +1,139 @@
+package io.fuchsiastand.health;
+
+import java.time.Duration;
+
+import io.fuchsiastand.config.Detection;
+import io.fuchsiastand.routing.BackendState;
+
+/**
+ * The state of one backend server in the eyes of its host's daemon: it starts with a ramp, is ejected when the detector
+ * alarms, returns on a ramp after a time that grows with each relapse, and drains when it says so.
+ *
+ * <p>Thread-safe.
+ */
+public final class BackendHealth {
+
+    /** Time for which a backend server that starts gets less than its share. */
+    public static final Duration RAMP = Duration.ofSeconds(10);
+    /** Time of the first ejection. */
+    public static final Duration FIRST_EJECTION = Duration.ofSeconds(10);
+    /** Longest time of an ejection. */
+    public static final Duration LONGEST_EJECTION = Duration.ofMinutes(10);
+    /** Time without an alarm after which relapses are forgotten. */
+    public static final Duration FORGETTING = Duration.ofMinutes(10);
+
+    private static final int RAMP_STEPS = 4;
+    private static final int MOST_DOUBLINGS = 6;
+
+    private final OutlierDetector detector;
+    private BackendState state = BackendState.STARTING;
+    private long since;
+    private int relapses;
+    private long lastAlarm;
+    private double severity;
+
+    /**
+     * Creates the state of a backend server that has just announced itself.
+     *
+     * @param detection the trade between detection time and false ejections
+     * @param now monotonic time in nanoseconds
+     */
+    public BackendHealth(Detection detection, long now) {
+        detector = new OutlierDetector(detection);
+        since = now;
+        lastAlarm = now;
+    }
+
+    /**
+     * Records a call.
+     *
+     * @param outcome what the call says
+     * @param millis service time
+     * @param baseline how the service does at large
+     * @param now monotonic time in nanoseconds
+     */
+    public synchronized void observe(Outcome outcome, double millis, Baseline baseline, long now) {
+        boolean alarm = detector.observe(outcome, millis, baseline, now);
+        if (alarm && (state == BackendState.SERVING || state == BackendState.STARTING)) {
+            eject(now);
+        }
+    }
+
+    /**
+     * Moves on with time.
+     *
+     * @param now monotonic time in nanoseconds
+     */
+    public synchronized void tick(long now) {
+        if (state == BackendState.STARTING && now - since >= RAMP.toNanos()) {
+            change(BackendState.SERVING, now);
+        } else if (state == BackendState.EJECTED && now - since >= ejection()) {
+            detector.reset();
+            change(BackendState.STARTING, now);
+        }
+        if (now - lastAlarm >= FORGETTING.toNanos()) {
+            relapses = 0;
+        }
+    }
+
+    /**
+     * Takes the backend server out of use for good.
+     *
+     * @param now monotonic time in nanoseconds
+     */
+    public synchronized void drain(long now) {
+        change(BackendState.DRAINING, now);
+    }
+
+    /**
+     * Returns the state.
+     *
+     * @return the state
+     */
+    public synchronized BackendState state() {
+        return state;
+    }
+
+    /**
+     * Returns the share of capacity to use.
+     *
+     * @param now monotonic time in nanoseconds
+     * @return 0 to 1, in a few steps
+     */
+    public synchronized double weight(long now) {
+        if (state != BackendState.STARTING) {
+            return 1;
+        }
+        double part = Math.min(1, (now - since) / (double) RAMP.toNanos());
+        return Math.max(1, Math.floor(part * RAMP_STEPS)) / RAMP_STEPS;
+    }
+
+    /**
+     * Returns how badly the backend server failed when it was ejected.
+     *
+     * @return 0 while it is not ejected
+     */
+    public synchronized double severity() {
+        return state == BackendState.EJECTED ? severity : 0;
+    }
+
+    private void eject(long now) {
+        severity = Math.max(1, detector.severity());
+        relapses = Math.min(relapses + 1, MOST_DOUBLINGS + 1);
+        lastAlarm = now;
+        detector.reset();
+        change(BackendState.EJECTED, now);
+    }
+
+    private void change(BackendState next, long now) {
+        if (state != BackendState.DRAINING) {
+            state = next;
+            since = now;
+        }
+    }
+
+    private long ejection() {
+        long most = LONGEST_EJECTION.toNanos();
+        return Math.min(most, FIRST_EJECTION.toNanos() << Math.max(0, relapses - 1));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/fuchsiastand/idempotency/KeyRecord.java
@@ -0,0 +1,11 @@
+package io.fuchsiastand.idempotency;
+
+/** What is known of a call with an idempotency key. */
+public enum KeyRecord {
+    /** The call runs now. */
+    RUNNING,
+    /** The call has run. */
+    RAN,
+    /** The call may have run. */
+    UNKNOWN
+}
--- /dev/null
+++ b/core/src/main/java/io/fuchsiastand/key/TeamKey.java
@@ -0,0 +1,47 @@
+package io.fuchsiastand.key;
+
+import java.security.SecureRandom;
+import java.util.Base64;
+import java.util.Locale;
+import java.util.Optional;
+
+/** Makes team keys and reads them from requests. */
+public final class TeamKey {
+
+    private static final String PREFIX = "fsk_";
+    private static final int SECRET_BYTES = 32;
+    private static final int MOST_LENGTH = 256;
+    private static final String SCHEME = "bearer ";
+
+    private TeamKey() {}
+
+    /**
+     * Makes a key.
+     *
+     * @param random a source that cannot be foreseen
+     * @return the key, with 256 random bits
+     */
+    public static String create(SecureRandom random) {
+        byte[] bytes = new byte[SECRET_BYTES];
+        random.nextBytes(bytes);
+        return PREFIX + Base64.getUrlEncoder().withoutPadding().encodeToString(bytes);
+    }
+
+    /**
+     * Reads the digest of the key from an Authorization header (RFC 6750, section 2.1).
+     *
+     * @param header the value of the header, or null
+     * @return the digest, or nothing if there is no bearer key
+     */
+    public static Optional<String> digestOf(CharSequence header) {
+        if (header == null || header.length() > MOST_LENGTH) {
+            return Optional.empty();
+        }
+        String h = header.toString();
+        if (!h.toLowerCase(Locale.ROOT).startsWith(SCHEME)) {
+            return Optional.empty();
+        }
+        String key = h.substring(SCHEME.length()).strip();
+        return key.isEmpty() ? Optional.empty() : Optional.of(Digests.ofText(key));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/fuchsiastand/queue/FairQueue.java
@@ -0,0 +1,227 @@
+package io.fuchsiastand.queue;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+import io.fuchsiastand.error.ErrorCode;
+import io.fuchsiastand.time.Clock;
+
+/**
+ * The slots of one backend server and the short queue before them. Slots are never exceeded. Waiting calls are served by
+ * start-time fair queueing: the team that has used the least slot time goes first. When the queue is full, the team with
+ * the most waiting calls loses its newest one. A call that cannot finish before its deadline is refused at once.
+ *
+ * <p>Thread-safe. Callbacks run on the calling thread, outside the lock.
+ */
+public final class FairQueue {
+
+    private static final double SMOOTHING = 0.1;
+    private static final int MOST_REMEMBERED_TEAMS = 1_024;
+
+    private final Clock clock;
+    private final Map<String, Team> teams = new HashMap<>();
+    private int slots;
+    private int capacity;
+    private int running;
+    private int waiting;
+    private double meanNanos;
+    private double virtualTime;
+
+    /** Waiting calls and used slot time of a team. */
+    private static final class Team {
+        private final Deque<Waiter> calls = new ArrayDeque<>();
+        private double used;
+    }
+
+    private record Waiter(String team, long deadline, Consumer<Lease> admitted, Consumer<ErrorCode> refused) {}
+
+    private record Action(Waiter waiter, Lease lease, ErrorCode refusal) {
+
+        private void run() {
+            if (lease != null) {
+                waiter.admitted().accept(lease);
+            } else {
+                waiter.refused().accept(refusal);
+            }
+        }
+    }
+
+    /** A slot that a call holds. */
+    public final class Lease {
+        private final String team;
+        private final long since = clock.nanoTime();
+        private boolean released;
+
+        private Lease(String team) {
+            this.team = team;
+        }
+
+        /** Gives the slot back. Calls after the first do nothing. */
+        public void release() {
+            finish(this);
+        }
+    }
+
+    /**
+     * Creates a queue.
+     *
+     * @param slots calls that may run at a time
+     * @param capacity calls that may wait
+     * @param clock the clock
+     */
+    public FairQueue(int slots, int capacity, Clock clock) {
+        this.slots = slots;
+        this.capacity = capacity;
+        this.clock = clock;
+    }
+
+    /**
+     * Changes the sizes.
+     *
+     * @param newSlots calls that may run at a time
+     * @param newCapacity calls that may wait
+     */
+    public synchronized void resize(int newSlots, int newCapacity) {
+        slots = newSlots;
+        capacity = newCapacity;
+    }
+
+    /**
+     * Admits a call, lets it wait, or refuses it.
+     *
+     * @param team the team whose call it is
+     * @param deadline monotonic time by which the call must be done, in nanoseconds
+     * @param admitted called when the call may run; it must release the lease
+     * @param refused called instead when the call will not run
+     */
+    public void submit(String team, long deadline, Consumer<Lease> admitted, Consumer<ErrorCode> refused) {
+        List<Action> actions = new ArrayList<>(2);
+        synchronized (this) {
+            Waiter w = new Waiter(team, deadline, admitted, refused);
+            if (running < slots && waiting == 0) {
+                running++;
+                actions.add(new Action(w, new Lease(team), null));
+            } else if (isHopeless(deadline, waiting + 1)) {
+                actions.add(new Action(w, null, ErrorCode.DEADLINE_NOT_RUN));
+            } else {
+                enqueue(w, actions);
+            }
+        }
+        actions.forEach(Action::run);
+    }
+
+    /**
+     * Refuses all waiting calls, as the backend server takes no new ones.
+     *
+     * @param reason the code to refuse them with
+     */
+    public void refuseAll(ErrorCode reason) {
+        List<Action> actions = new ArrayList<>();
+        synchronized (this) {
+            for (Team t : teams.values()) {
+                t.calls.forEach(w -> actions.add(new Action(w, null, reason)));
+                t.calls.clear();
+            }
+            waiting = 0;
+        }
+        actions.forEach(Action::run);
+    }
+
+    /**
+     * Returns the calls that run or wait.
+     *
+     * @return the number
+     */
+    public synchronized int load() {
+        return running + waiting;
+    }
+
+    /**
+     * Returns the calls that run.
+     *
+     * @return the number
+     */
+    public synchronized int running() {
+        return running;
+    }
+
+    private void enqueue(Waiter w, List<Action> actions) {
+        Team t = teams.computeIfAbsent(w.team(), k -> new Team());
+        if (waiting >= capacity) {
+            Team longest = longest();
+            if (longest == null || longest.calls.size() <= t.calls.size() + 1) {
+                actions.add(new Action(w, null, ErrorCode.QUEUE_FULL));
+                return;
+            }
+            actions.add(new Action(longest.calls.pollLast(), null, ErrorCode.QUEUE_FULL));
+            waiting--;
+        }
+        if (t.calls.isEmpty()) {
+            t.used = Math.max(t.used, virtualTime);
+        }
+        t.calls.add(w);
+        waiting++;
+    }
+
+    private void finish(Lease lease) {
+        List<Action> actions = new ArrayList<>(2);
+        synchronized (this) {
+            if (lease.released) {
+                return;
+            }
+            lease.released = true;
+            running--;
+            double nanos = clock.nanoTime() - lease.since;
+            meanNanos = meanNanos == 0 ? nanos : meanNanos + SMOOTHING * (nanos - meanNanos);
+            Team t = teams.get(lease.team);
+            if (t != null) {
+                t.used += nanos;
+            }
+            admit(actions);
+            if (teams.size() > MOST_REMEMBERED_TEAMS) {
+                teams.values().removeIf(x -> x.calls.isEmpty());
+            }
+        }
+        actions.forEach(Action::run);
+    }
+
+    private void admit(List<Action> actions) {
+        while (running < slots && waiting > 0) {
+            Team next = null;
+            for (Team t : teams.values()) {
+                if (!t.calls.isEmpty() && (next == null || t.used < next.used)) {
+                    next = t;
+                }
+            }
+            Waiter w = next.calls.poll();
+            waiting--;
+            virtualTime = Math.max(virtualTime, next.used);
+            if (isHopeless(w.deadline(), 0)) {
+                actions.add(new Action(w, null, ErrorCode.DEADLINE_NOT_RUN));
+            } else {
+                running++;
+                actions.add(new Action(w, new Lease(w.team()), null));
+            }
+        }
+    }
+
+    private boolean isHopeless(long deadline, int ahead) {
+        double wait = meanNanos * ahead / Math.max(1, slots);
+        return deadline - clock.nanoTime() < wait;
+    }
+
+    private Team longest() {
+        Team out = null;
+        for (Team t : teams.values()) {
+            if (!t.calls.isEmpty() && (out == null || t.calls.size() > out.calls.size())) {
+                out = t;
+            }
+        }
+        return out;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/fuchsiastand/time/Clock.java
@@ -0,0 +1,42 @@
+package io.fuchsiastand.time;
+
+import java.time.Instant;
+
+/**
+ * Source of time. Leases and timeouts use {@link #nanoTime()}, which never steps; {@link #now()} is for display and
+ * for instants that cross hosts.
+ */
+public interface Clock {
+
+    /**
+     * Returns the wall-clock time.
+     *
+     * @return the current instant
+     */
+    Instant now();
+
+    /**
+     * Returns the monotonic time of this process.
+     *
+     * @return nanoseconds since an arbitrary origin
+     */
+    long nanoTime();
+
+    /**
+     * Returns the monotonic time of this process in milliseconds.
+     *
+     * @return milliseconds since an arbitrary origin
+     */
+    default long millis() {
+        return nanoTime() / 1_000_000;
+    }
+
+    /**
+     * Returns the clock of the operating system.
+     *
+     * @return a clock that reads the system time
+     */
+    static Clock system() {
+        return SystemClock.INSTANCE;
+    }
+}
--- /dev/null
+++ b/core/src/test/java/io/fuchsiastand/limit/ShardLedgerTest.java
@@ -0,0 +1,103 @@
+package io.fuchsiastand.limit;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+
+import io.fuchsiastand.config.Allowance;
+import io.fuchsiastand.protocol.AcquireResult;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class ShardLedgerTest {
+
+    private static final long SECOND = 1_000_000_000L;
+    private static final TeamService KEY = new TeamService("zermatt", "menu");
+    private static final Share WHOLE = new Share(true, true, 0, 0);
+
+    private final ShardLedger ledger = new ShardLedger();
+
+    @Test
+    void grantsTheBurstAndThenTheRate() {
+        Allowance a = new Allowance(10, 5);
+        assertThat(grants(a, WHOLE, 10 * SECOND, 20)).isEqualTo(5);
+        assertThat(grants(a, WHOLE, 10 * SECOND + SECOND / 10, 20)).isEqualTo(1);
+        assertThat(grants(a, WHOLE, 11 * SECOND, 20)).isEqualTo(5);
+    }
+
+    @Test
+    void startsEmptyWhenAHalfIsGained() {
+        Allowance a = new Allowance(10, 10);
+        assertThat(grants(a, WHOLE, 10 * SECOND, 20)).isEqualTo(10);
+        Share regained = new Share(true, true, 0, 20 * SECOND);
+        assertThat(grants(a, regained, 20 * SECOND, 20)).isEqualTo(5);
+    }
+
+    @Test
+    void grantsHalfWithOneHalf() {
+        Allowance a = new Allowance(10, 10);
+        assertThat(grants(a, new Share(true, false, 0, 0), 10 * SECOND, 20)).isEqualTo(5);
+    }
+
+    @Test
+    void saysWhenTheNextTokenWillBeThere() {
+        Allowance a = new Allowance(4, 1);
+        assertThat(ledger.acquire(KEY, a, 0, WHOLE, 10 * SECOND).isGranted()).isTrue();
+        Grant refused = ledger.acquire(KEY, a, 0, WHOLE, 10 * SECOND);
+        assertThat(refused.result()).isEqualTo(AcquireResult.OVER_RATE);
+        assertThat(refused.retryAfterMillis()).isEqualTo(250);
+        assertThat(ledger.acquire(KEY, a, 0, WHOLE, 10 * SECOND + SECOND / 4).isGranted())
+                .isTrue();
+    }
+
+    @Test
+    void grantsNothingWithoutARight() {
+        Grant g = ledger.acquire(KEY, new Allowance(10, 10), 0, Share.NONE, SECOND);
+        assertThat(g.result()).isEqualTo(AcquireResult.NO_RIGHT);
+    }
+
+    @Test
+    void refusesForGoodAtRateZero() {
+        Grant g = ledger.acquire(KEY, new Allowance(0, 1), 0, WHOLE, SECOND);
+        assertThat(g.result()).isEqualTo(AcquireResult.OVER_RATE);
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+    void staysWithinRateAndBurstInEveryWindowWhateverBatchesAreAsked(long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        Allowance a = new Allowance(50, 20);
+        List<long[]> spent = new ArrayList<>();
+        long now = 0;
+        for (int i = 0; i < 3000; i++) {
+            now += random.nextLong(SECOND / 100);
+            Grant g = ledger.acquire(KEY, a, random.nextInt(10), WHOLE, now);
+            if (g.isGranted()) {
+                spent.add(new long[] {now, 1});
+                // The batch may be spent at any moment until it runs out.
+                long later = now + random.nextLong(g.validMillis() * 1_000_000L);
+                spent.add(new long[] {later, g.batch()});
+            }
+        }
+        spent.sort((x, y) -> Long.compare(x[0], y[0]));
+        for (int s = 0; s < spent.size(); s += 7) {
+            double sum = 0;
+            for (int t = s; t < spent.size(); t++) {
+                sum += spent.get(t)[1];
+                double most = a.burst() + a.rate() * (spent.get(t)[0] - spent.get(s)[0]) / SECOND;
+                assertThat(sum).isAtMost(most + 0.01);
+            }
+        }
+    }
+
+    private int grants(Allowance a, Share share, long now, int calls) {
+        int n = 0;
+        for (int i = 0; i < calls; i++) {
+            n += ledger.acquire(KEY, a, 0, share, now).isGranted() ? 1 : 0;
+        }
+        return n;
+    }
+}
--- /dev/null
+++ b/core/src/test/java/io/fuchsiastand/membership/MembershipTest.java
@@ -0,0 +1,108 @@
+package io.fuchsiastand.membership;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+
+import io.fuchsiastand.protocol.MemberState;
+import io.fuchsiastand.protocol.MemberUpdate;
+import io.fuchsiastand.time.ManualClock;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class MembershipTest {
+
+    private final ManualClock clock = new ManualClock();
+    private final Membership a = membership("a");
+
+    @Test
+    void declaresASilentMemberDeadOnlyAfterSuspicion() {
+        join(a, "b");
+        a.suspect("b");
+        assertThat(state("b")).isEqualTo(MemberState.SUSPECT);
+        clock.advance(Membership.SUSPICION.minusMillis(1));
+        a.expire();
+        assertThat(state("b")).isEqualTo(MemberState.SUSPECT);
+        clock.advance(Duration.ofMillis(1));
+        a.expire();
+        assertThat(state("b")).isEqualTo(MemberState.DEAD);
+    }
+
+    @Test
+    void believesAMemberThatRefutesASuspicion() {
+        Membership b = membership("b");
+        join(a, "b");
+        a.suspect("b");
+        b.apply(List.of(a.find("b").orElseThrow().toUpdate()));
+        a.apply(b.snapshot());
+        assertThat(state("b")).isEqualTo(MemberState.ALIVE);
+        assertThat(a.find("b").orElseThrow().incarnation()).isEqualTo(2);
+    }
+
+    @Test
+    void isNotToldOldNewsOfTheDead() {
+        join(a, "b");
+        List<MemberUpdate> old = a.snapshot();
+        a.suspect("b");
+        clock.advance(Membership.SUSPICION);
+        a.expire();
+        a.apply(old);
+        assertThat(state("b")).isEqualTo(MemberState.DEAD);
+    }
+
+    @Test
+    void staysGoneOnceItHasLeft() {
+        Membership b = membership("b");
+        join(a, "b");
+        b.leave();
+        b.apply(List.of(b.find("b").orElseThrow().with(MemberState.DEAD, 5, 0).toUpdate()));
+        a.apply(b.snapshot());
+        assertThat(state("b")).isEqualTo(MemberState.LEFT);
+    }
+
+    @Test
+    void reachesEveryMemberThroughAFewNeighboursEach() {
+        int n = 300;
+        List<MemberUpdate> updates = new ArrayList<>();
+        List<Membership> all = new ArrayList<>();
+        for (int i = 0; i < n; i++) {
+            updates.add(member("h" + i).toUpdate());
+            all.add(membership("h" + i));
+        }
+        all.forEach(m -> m.apply(updates));
+        Set<String> reached = new HashSet<>();
+        Deque<Membership> open = new ArrayDeque<>(List.of(all.get(0)));
+        while (!open.isEmpty()) {
+            List<Member> neighbours = open.poll().neighbours();
+            assertThat(neighbours.size()).isAtMost(6);
+            for (Member m : neighbours) {
+                if (reached.add(m.host())) {
+                    open.add(all.get(Integer.parseInt(m.host().substring(1))));
+                }
+            }
+        }
+        assertThat(reached).hasSize(n);
+    }
+
+    private MemberState state(String host) {
+        return a.find(host).orElseThrow().state();
+    }
+
+    private void join(Membership m, String host) {
+        m.apply(List.of(member(host).toUpdate()));
+    }
+
+    private Membership membership(String host) {
+        return new Membership(member(host), clock, new SplittableRandom(1));
+    }
+
+    private Member member(String host) {
+        return new Member(host, "127.0.0.1", 1, 2, "zurich", 1, MemberState.ALIVE, clock.nanoTime());
+    }
+}
--- /dev/null
+++ b/core/src/test/java/io/fuchsiastand/queue/FairQueueTest.java
@@ -0,0 +1,110 @@
+package io.fuchsiastand.queue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+
+import io.fuchsiastand.error.ErrorCode;
+import io.fuchsiastand.time.ManualClock;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class FairQueueTest {
+
+    private static final long NO_DEADLINE = Long.MAX_VALUE;
+
+    private final ManualClock clock = new ManualClock();
+    private final List<FairQueue.Lease> running = new ArrayList<>();
+    private final List<String> started = new ArrayList<>();
+    private final List<String> refused = new ArrayList<>();
+
+    @Test
+    void neverExceedsItsSlots() {
+        FairQueue q = new FairQueue(2, 10, clock);
+        for (int i = 0; i < 5; i++) {
+            submit(q, "a", NO_DEADLINE);
+        }
+        assertThat(started).hasSize(2);
+        assertThat(q.load()).isEqualTo(5);
+        running.remove(0).release();
+        assertThat(started).hasSize(3);
+        assertThat(q.running()).isEqualTo(2);
+    }
+
+    @Test
+    void servesTheTeamThatUsedLeastFirst() {
+        FairQueue q = new FairQueue(1, 10, clock);
+        for (int i = 0; i < 4; i++) {
+            submit(q, "greedy", NO_DEADLINE);
+        }
+        submit(q, "small", NO_DEADLINE);
+        clock.advance(Duration.ofMillis(10));
+        running.remove(0).release();
+        assertThat(started).containsExactly("greedy", "small").inOrder();
+    }
+
+    @Test
+    void shedsTheNewestCallOfTheTeamWithMostWhenFull() {
+        FairQueue q = new FairQueue(1, 3, clock);
+        for (int i = 0; i < 4; i++) {
+            submit(q, "greedy", NO_DEADLINE);
+        }
+        submit(q, "small", NO_DEADLINE);
+        assertThat(refused).containsExactly("greedy " + ErrorCode.QUEUE_FULL);
+        submit(q, "greedy", NO_DEADLINE);
+        assertThat(refused).hasSize(2);
+    }
+
+    @Test
+    void refusesAtOnceWhatCannotFinishInTime() {
+        FairQueue q = new FairQueue(1, 10, clock);
+        submit(q, "a", NO_DEADLINE);
+        clock.advance(Duration.ofMillis(100));
+        running.remove(0).release();
+        submit(q, "a", NO_DEADLINE);
+        submit(q, "b", clock.nanoTime() + Duration.ofMillis(50).toNanos());
+        assertThat(refused).containsExactly("b " + ErrorCode.DEADLINE_NOT_RUN);
+    }
+
+    @Test
+    void refusesAWaitingCallWhoseDeadlinePassed() {
+        FairQueue q = new FairQueue(1, 10, clock);
+        submit(q, "a", NO_DEADLINE);
+        submit(q, "b", clock.nanoTime() + Duration.ofMillis(50).toNanos());
+        clock.advance(Duration.ofMillis(60));
+        running.remove(0).release();
+        assertThat(refused).containsExactly("b " + ErrorCode.DEADLINE_NOT_RUN);
+        assertThat(q.load()).isEqualTo(0);
+    }
+
+    @Test
+    void givesASlotBackOnceHoweverOftenItIsReleased() {
+        FairQueue q = new FairQueue(1, 10, clock);
+        submit(q, "a", NO_DEADLINE);
+        running.get(0).release();
+        running.get(0).release();
+        assertThat(q.running()).isEqualTo(0);
+    }
+
+    @Test
+    void refusesAllThatWaitWhenTheBackendServerLeaves() {
+        FairQueue q = new FairQueue(1, 10, clock);
+        submit(q, "a", NO_DEADLINE);
+        submit(q, "b", NO_DEADLINE);
+        q.refuseAll(ErrorCode.NO_BACKEND);
+        assertThat(refused).containsExactly("b " + ErrorCode.NO_BACKEND);
+        assertThat(q.load()).isEqualTo(1);
+    }
+
+    private void submit(FairQueue q, String team, long deadline) {
+        q.submit(
+                team,
+                deadline,
+                lease -> {
+                    started.add(team);
+                    running.add(lease);
+                },
+                code -> refused.add(team + " " + code));
+    }
+}
--- /dev/null
+++ b/core/src/test/java/io/fuchsiastand/replication/RecordStoreTest.java
@@ -0,0 +1,84 @@
+package io.fuchsiastand.replication;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+
+import io.fuchsiastand.protocol.Record;
+import io.fuchsiastand.protocol.SyncReply;
+import io.fuchsiastand.protocol.SyncRequest;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class RecordStoreTest {
+
+    private final RecordStore a = new RecordStore();
+    private final RecordStore b = new RecordStore();
+
+    @Test
+    void keepsTheHigherVersionInWhateverOrderRecordsArrive() {
+        assertThat(a.put(record("x", 2), 3)).isTrue();
+        assertThat(a.put(record("x", 1), 3)).isFalse();
+        assertThat(a.put(record("x", 2), 3)).isFalse();
+        assertThat(a.get("x").orElseThrow().getVersion()).isEqualTo(2);
+    }
+
+    @Test
+    void bringsBothSidesLevelInOneComparison() {
+        SplittableRandom random = new SplittableRandom(1);
+        for (int i = 0; i < 300; i++) {
+            (random.nextBoolean() ? a : b).put(record("r" + i, 1 + random.nextInt(3)), 3);
+            (random.nextBoolean() ? a : b).put(record("r" + i, 1 + random.nextInt(3)), 3);
+        }
+        sync();
+        assertThat(a.continueSync("a", b.answerSync(a.startSync("a")))).isEmpty();
+        assertThat(a.size()).isEqualTo(b.size());
+    }
+
+    @Test
+    void passesEachRecordOnALimitedNumberOfTimes() {
+        a.put(record("x", 1), 3);
+        int sent = 0;
+        while (!a.takeRumours().isEmpty()) {
+            sent++;
+        }
+        assertThat(sent).isEqualTo(9);
+        assertThat(a.hasRumours()).isFalse();
+    }
+
+    @Test
+    void sendsContentOnlyWhenItIsAskedFor() {
+        a.put(record("chunk/abc", 1), 3);
+        assertThat(a.hasRumours()).isFalse();
+        sync();
+        assertThat(b.get("chunk/abc")).isEmpty();
+        SyncReply reply =
+                a.answerSync(SyncRequest.newBuilder().addWanted("chunk/abc").build());
+        assertThat(reply.getRecordsList()).hasSize(1);
+    }
+
+    @Test
+    void tellsListenersOfAcceptedRecordsOnly() {
+        List<Long> versions = new ArrayList<>();
+        a.listen(r -> versions.add(r.getVersion()));
+        a.put(record("x", 1), 3);
+        a.put(record("x", 1), 3);
+        a.put(record("x", 3), 3);
+        a.put(record("x", 2), 3);
+        assertThat(versions).containsExactly(1L, 3L).inOrder();
+    }
+
+    private void sync() {
+        Optional<SyncRequest> next = a.continueSync("a", b.answerSync(a.startSync("a")));
+        next.ifPresent(request -> {
+            request.getRecordsList().forEach(r -> b.put(r, 3));
+            b.answerSync(request).getRecordsList().forEach(r -> a.put(r, 3));
+        });
+    }
+
+    private static Record record(String name, long version) {
+        return RecordStore.record(name, version, new byte[] {(byte) version});
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/BackendController.java
@@ -0,0 +1,207 @@
+package io.fuchsiastand.daemon;
+
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+
+import io.fuchsiastand.config.Detection;
+import io.fuchsiastand.config.Json;
+import io.fuchsiastand.config.Service;
+import io.fuchsiastand.error.ErrorCode;
+import io.fuchsiastand.protocol.Record;
+import io.fuchsiastand.replication.RecordStore;
+import io.fuchsiastand.routing.BackendServer;
+import io.fuchsiastand.routing.BackendState;
+import io.fuchsiastand.routing.HostRecord;
+import org.tinylog.Logger;
+
+/**
+ * Keeps the backend servers of this host and describes them to the fleet. Reads the configuration, alone writes the
+ * record of this host.
+ */
+public final class BackendController {
+
+    /** Time between two ticks. */
+    public static final Duration TICK = Duration.ofMillis(250);
+
+    private static final int VERSION_BITS = 20;
+
+    private final Blackboard board;
+    private final Transport transport;
+    private final Map<String, LocalBackend> backends = new ConcurrentHashMap<>();
+    private List<BackendServer> published = List.of();
+    private long sequence;
+
+    /**
+     * Creates the controller.
+     *
+     * @param board the blackboard
+     * @param transport makes clients
+     */
+    public BackendController(Blackboard board, Transport transport) {
+        this.board = board;
+        this.transport = transport;
+    }
+
+    /**
+     * Finds a backend server of this host.
+     *
+     * @param id its name
+     * @return the backend server, or nothing
+     */
+    public Optional<LocalBackend> find(String id) {
+        return Optional.ofNullable(backends.get(id));
+    }
+
+    /**
+     * Lists the backend servers of this host.
+     *
+     * @return the backend servers
+     */
+    public List<LocalBackend> all() {
+        return List.copyOf(backends.values());
+    }
+
+    /**
+     * Takes an announcement. One that changes the address or the service replaces the backend server.
+     *
+     * @param a the announcement
+     */
+    public synchronized void announce(LocalBackend.Announcement a) {
+        LocalBackend known = backends.get(a.id());
+        if (known != null && isSame(known, a)) {
+            known.renew(a.ttlSeconds());
+            return;
+        }
+        if (known != null) {
+            remove(known);
+        }
+        backends.put(
+                a.id(),
+                new LocalBackend(
+                        a, service(a.service()), transport.backendClient(a.address(), a.port()), board.clock()));
+        Logger.info("backend server {} of service {} announced itself", a.id(), a.service());
+        publish();
+    }
+
+    /**
+     * Stops new calls to a backend server; calls in its queue are refused as not run.
+     *
+     * @param id its name
+     * @return false if no such backend server is here
+     */
+    public synchronized boolean drain(String id) {
+        LocalBackend b = backends.get(id);
+        if (b == null) {
+            return false;
+        }
+        b.health().drain(board.clock().nanoTime());
+        b.queue().refuseAll(ErrorCode.NO_BACKEND);
+        Logger.info("backend server {} is draining", id);
+        publish();
+        return true;
+    }
+
+    /**
+     * Removes a backend server.
+     *
+     * @param id its name
+     * @return false if no such backend server is here
+     */
+    public synchronized boolean withdraw(String id) {
+        LocalBackend b = backends.get(id);
+        if (b == null) {
+            return false;
+        }
+        remove(b);
+        publish();
+        return true;
+    }
+
+    /** Does what is due. */
+    public synchronized void tick() {
+        long now = board.clock().nanoTime();
+        for (LocalBackend b : List.copyOf(backends.values())) {
+            b.tick(now);
+            if (b.isExpired(now)) {
+                Logger.warn(
+                        "backend server {} no longer renews its announcement",
+                        b.announcement().id());
+                remove(b);
+            }
+        }
+        publish();
+    }
+
+    /** Stops new calls to all backend servers of this host. */
+    public synchronized void drainAll() {
+        backends.values().forEach(b -> b.health().drain(board.clock().nanoTime()));
+        publish();
+    }
+
+    /** Publishes the record of this host if it changed. */
+    private void publish() {
+        long now = board.clock().nanoTime();
+        List<BackendServer> current = backends.values().stream()
+                .map(b -> b.describe(now))
+                .sorted(Comparator.comparing(BackendServer::id))
+                .toList();
+        if (current.equals(published)) {
+            return;
+        }
+        logEjections(current);
+        published = current;
+        sequence++;
+        String host = board.settings().host();
+        Record r = RecordStore.record(
+                HostRecord.PREFIX + host,
+                (board.start() << VERSION_BITS) + sequence,
+                Json.write(new HostRecord(host, current)));
+        board.records().put(r, board.fleetSize());
+    }
+
+    private void logEjections(List<BackendServer> current) {
+        for (BackendServer s : current) {
+            boolean before =
+                    published.stream().anyMatch(p -> p.id().equals(s.id()) && p.state() == BackendState.EJECTED);
+            boolean ejected = s.state() == BackendState.EJECTED;
+            if (ejected && !before) {
+                Logger.warn("backend server {} is ejected, {} percent of its calls are bad", s.id(), s.severity());
+            } else if (!ejected && before) {
+                Logger.info("backend server {} returns from ejection", s.id());
+            }
+        }
+    }
+
+    private void remove(LocalBackend b) {
+        backends.remove(b.announcement().id());
+        b.health().drain(board.clock().nanoTime());
+        b.queue().refuseAll(ErrorCode.NO_BACKEND);
+        b.client().closeAsyncGracefully().subscribe();
+    }
+
+    private static boolean isSame(LocalBackend known, LocalBackend.Announcement a) {
+        LocalBackend.Announcement k = known.announcement();
+        return known.health().state() != BackendState.DRAINING
+                && k.service().equals(a.service())
+                && k.address().equals(a.address())
+                && k.port() == a.port()
+                && k.slots() == a.slots();
+    }
+
+    private Service service(String name) {
+        Service known = board.configuration().get().configuration().services().get(name);
+        return known != null
+                ? known
+                : new Service(
+                        name,
+                        Service.DEFAULT_FLOOR,
+                        Service.DEFAULT_TIMEOUT,
+                        Service.DEFAULT_QUEUE,
+                        Detection.CAREFUL,
+                        List.of());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/Blackboard.java
@@ -0,0 +1,171 @@
+package io.fuchsiastand.daemon;
+
+import java.util.Optional;
+import java.util.SplittableRandom;
+
+import io.fuchsiastand.config.Service;
+import io.fuchsiastand.key.KeyTable;
+import io.fuchsiastand.membership.Member;
+import io.fuchsiastand.membership.Membership;
+import io.fuchsiastand.protocol.MemberState;
+import io.fuchsiastand.replication.RecordStore;
+import io.fuchsiastand.routing.ServiceDirectory;
+import io.fuchsiastand.time.Clock;
+
+/**
+ * What the controllers of a daemon share. Each section has one writer:
+ *
+ * <ul>
+ *   <li>lifecycle: {@link Daemon}
+ *   <li>configuration: {@link ConfigurationController}
+ *   <li>keys: {@link KeyController}
+ *   <li>members and freshness of peers: {@link GossipController}
+ *   <li>records: {@link GossipController} for what peers send, {@link PlatformController} for what the platform sends;
+ *       the store itself keeps the higher version
+ *   <li>directory: {@link DirectoryController}
+ * </ul>
+ *
+ * Request threads only read.
+ */
+public final class Blackboard {
+
+    private final Section<Lifecycle> lifecycle = new Section<>(Lifecycle.STARTING);
+    private final Section<ActiveConfiguration> configuration = new Section<>(ActiveConfiguration.NONE);
+    private final Section<Freshness> freshness;
+    private final KeyTable keys = new KeyTable();
+    private final RecordStore records = new RecordStore();
+    private final Membership members;
+    private final ServiceDirectory directory;
+    private final Clock clock;
+    private final Settings settings;
+    private final long start;
+
+    /**
+     * Creates the blackboard of a daemon.
+     *
+     * @param settings the settings
+     * @param ports the ports that the daemon listens on
+     * @param clock the clock
+     */
+    public Blackboard(Settings settings, Settings.Ports ports, Clock clock) {
+        this.settings = settings;
+        this.clock = clock;
+        start = clock.now().toEpochMilli();
+        freshness = new Section<>(new Freshness(clock.nanoTime(), clock.nanoTime()));
+        Member self = new Member(
+                settings.host(),
+                settings.address(),
+                ports.data(),
+                ports.peer(),
+                settings.dataCentre(),
+                start,
+                MemberState.ALIVE,
+                clock.nanoTime());
+        members = new Membership(self, clock, new SplittableRandom(start));
+        directory = new ServiceDirectory(settings.dataCentre(), clock, members::find, this::service);
+    }
+
+    /**
+     * Returns the lifecycle.
+     *
+     * @return the section
+     */
+    public Section<Lifecycle> lifecycle() {
+        return lifecycle;
+    }
+
+    /**
+     * Returns the configuration in force.
+     *
+     * @return the section
+     */
+    public Section<ActiveConfiguration> configuration() {
+        return configuration;
+    }
+
+    /**
+     * Returns the freshness of sources.
+     *
+     * @return the section
+     */
+    public Section<Freshness> freshness() {
+        return freshness;
+    }
+
+    /**
+     * Returns the team keys.
+     *
+     * @return the key table
+     */
+    public KeyTable keys() {
+        return keys;
+    }
+
+    /**
+     * Returns the replicated records.
+     *
+     * @return the record store
+     */
+    public RecordStore records() {
+        return records;
+    }
+
+    /**
+     * Returns the members of the fleet.
+     *
+     * @return the membership
+     */
+    public Membership members() {
+        return members;
+    }
+
+    /**
+     * Returns the backend servers of the fleet.
+     *
+     * @return the directory
+     */
+    public ServiceDirectory directory() {
+        return directory;
+    }
+
+    /**
+     * Returns the clock.
+     *
+     * @return the clock
+     */
+    public Clock clock() {
+        return clock;
+    }
+
+    /**
+     * Returns the settings.
+     *
+     * @return the settings
+     */
+    public Settings settings() {
+        return settings;
+    }
+
+    /**
+     * Returns the start of this process.
+     *
+     * @return milliseconds since 1970
+     */
+    public long start() {
+        return start;
+    }
+
+    /**
+     * Returns the number of members that can be reached.
+     *
+     * @return the number, at least 1
+     */
+    public int fleetSize() {
+        return Math.max(1, members.reachable().size());
+    }
+
+    private Optional<Service> service(String name) {
+        return Optional.ofNullable(
+                configuration.get().configuration().services().get(name));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/Daemon.java
@@ -0,0 +1,197 @@
+package io.fuchsiastand.daemon;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+import io.fuchsiastand.platform.HttpObjectStore;
+import io.fuchsiastand.platform.ObjectStore;
+import io.fuchsiastand.time.Clock;
+import io.grpc.Server;
+import io.servicetalk.transport.api.ServerContext;
+import org.tinylog.Logger;
+
+/** A daemon: its servers, its controllers and their threads. Alone writes the lifecycle section. */
+public final class Daemon implements AutoCloseable {
+
+    private static final Duration READY_CHECK = Duration.ofMillis(100);
+    private static final Duration DRAIN_NOTICE = Duration.ofMillis(1500);
+    private static final Duration DRAIN_LIMIT = Duration.ofSeconds(25);
+    private static final Duration POLL = Duration.ofMillis(50);
+
+    private final Blackboard board;
+    private final Transport transport;
+    private final Peers peers;
+    private final ConfigurationController configuration;
+    private final GossipController gossip;
+    private final BackendController backends;
+    private final LimitController limits;
+    private final PlatformController platform;
+    private final CallerService callers;
+    private final Metrics metrics = new Metrics();
+    private final HttpObjectStore store;
+    private final ScheduledExecutorService timer =
+            Executors.newSingleThreadScheduledExecutor(r -> thread(r, "control"));
+    private final List<Thread> platformThreads = new ArrayList<>();
+    private final List<ServerContext> servers = new ArrayList<>();
+    private final ServerContext callerServer;
+    private final Server peerServer;
+
+    /**
+     * Starts a daemon.
+     *
+     * @param settings the settings
+     */
+    public Daemon(Settings settings) {
+        this(settings, Clock.system());
+    }
+
+    Daemon(Settings settings, Clock clock) {
+        board = new Blackboard(settings, settings.ports(), clock);
+        transport = new Transport(settings.tls());
+        peers = new Peers(transport);
+        configuration = new ConfigurationController(board);
+        gossip = new GossipController(board, peers, configuration::missing);
+        backends = new BackendController(board, transport);
+        limits = new LimitController(board, peers);
+        LimitClient acquirer = new LimitClient(board, peers, limits);
+        IdempotencyController idempotency = new IdempotencyController(board, peers, limits);
+        store = new HttpObjectStore(
+                settings.platform().host(), settings.platform().port(), PlatformController.WATCH_WAIT);
+        ObjectStore objects = store;
+        platform = new PlatformController(board, objects, limits, gossip, configuration::missing);
+        OwnerService owner = new OwnerService(backends::find, clock, settings.host());
+        Dispatcher dispatcher = new Dispatcher(board, peers, owner, metrics);
+        OnceOnly once = new OnceOnly(idempotency, limits, settings.host(), dispatcher::dispatch);
+        callers = new CallerService(board, acquirer, once::run, metrics);
+        startControllers();
+        Settings.Ports p = settings.ports();
+        peerServer = transport.peerServer(p.peer(), new PeerServer(gossip, limits, acquirer, idempotency));
+        servers.add(transport.dataServer(p.data(), owner));
+        servers.add(transport.adminServer(p.admin(), new AdminService(board, backends, metrics, this::status)));
+        callerServer = transport.callerServer(p.callers(), callers);
+        startThreads();
+        Logger.info(
+                "host {} in data centre {} takes calls on port {}",
+                settings.host(),
+                settings.dataCentre(),
+                p.callers());
+    }
+
+    /**
+     * Returns what the daemon knows of the fleet.
+     *
+     * @return the status
+     */
+    public FleetStatus status() {
+        return FleetStatus.of(board, limits, platform.isRelay(), callers.inFlight());
+    }
+
+    /**
+     * Drains the daemon: it takes no new calls, finishes those in flight, hands over its rights and leaves the fleet.
+     * Returns when no call is in flight, or after a time limit.
+     */
+    public void drain() {
+        board.lifecycle().set(Lifecycle.DRAINING);
+        Logger.info("draining");
+        backends.drainAll();
+        limits.release().orTimeout(2, TimeUnit.SECONDS).exceptionally(e -> null).join();
+        // Peers hear of the drain by gossip; calls that they sent before are still run.
+        pause(DRAIN_NOTICE);
+        long end = board.clock().nanoTime() + DRAIN_LIMIT.toNanos();
+        while (isBusy() && board.clock().nanoTime() < end) {
+            pause(POLL);
+        }
+        gossip.leave();
+        platform.stop();
+        platform.leave();
+        pause(Duration.ofMillis(200));
+        Logger.info("drained");
+    }
+
+    /** Ends the daemon at once. */
+    @Override
+    public void close() {
+        platform.stop();
+        timer.shutdownNow();
+        platformThreads.forEach(Thread::interrupt);
+        callerServer.closeAsync().subscribe();
+        servers.forEach(s -> s.closeAsync().subscribe());
+        peerServer.shutdownNow();
+        peers.close();
+        transport.close();
+        try {
+            store.close();
+        } catch (Exception e) {
+            Logger.warn("the client of the platform does not close: {}", e.getMessage());
+        }
+    }
+
+    Blackboard board() {
+        return board;
+    }
+
+    private void startControllers() {
+        configuration.start();
+        new KeyController(board).start();
+        new DirectoryController(board, peers).start();
+        limits.start();
+        metrics.gauge("fuchsiastand_in_flight", callers::inFlight);
+        metrics.gauge("fuchsiastand_members", board::fleetSize);
+        metrics.gauge(
+                "fuchsiastand_configuration_version",
+                () -> board.configuration().get().configuration().version());
+    }
+
+    private void startThreads() {
+        every(GossipController.TICK, gossip::tick);
+        every(BackendController.TICK, backends::tick);
+        every(LimitController.TICK, limits::tick);
+        every(READY_CHECK, this::checkReady);
+        platformThreads.add(thread(platform::watchLoop, "platform-watch"));
+        platformThreads.add(thread(platform::writeLoop, "platform-write"));
+        platformThreads.forEach(Thread::start);
+    }
+
+    private void checkReady() {
+        boolean known =
+                board.configuration().get().configuration().version() > 0 && (platform.isLoaded() || gossip.isSynced());
+        if (board.lifecycle().get() == Lifecycle.STARTING && known) {
+            board.lifecycle().set(Lifecycle.READY);
+            Logger.info("ready");
+        }
+    }
+
+    private boolean isBusy() {
+        return callers.inFlight() > 0
+                || backends.all().stream().anyMatch(b -> b.queue().load() > 0);
+    }
+
+    private void every(Duration period, Runnable work) {
+        Runnable guarded = () -> {
+            try {
+                work.run();
+            } catch (RuntimeException e) {
+                Logger.error(e, "a controller failed; it goes on with the next tick");
+            }
+        };
+        timer.scheduleWithFixedDelay(guarded, 0, period.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    private static Thread thread(Runnable work, String name) {
+        Thread t = new Thread(work, name);
+        t.setDaemon(true);
+        return t;
+    }
+
+    private static void pause(Duration wait) {
+        try {
+            Thread.sleep(wait.toMillis());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/DirectoryController.java
@@ -0,0 +1,52 @@
+package io.fuchsiastand.daemon;
+
+import io.fuchsiastand.config.Json;
+import io.fuchsiastand.error.FuchsiastandException;
+import io.fuchsiastand.membership.Member;
+import io.fuchsiastand.protocol.MemberState;
+import io.fuchsiastand.protocol.Record;
+import io.fuchsiastand.routing.HostRecord;
+import org.tinylog.Logger;
+
+/** Keeps the directory of backend servers. Reads records and members, writes the directory. */
+public final class DirectoryController {
+
+    private final Blackboard board;
+    private final Peers peers;
+
+    /**
+     * Creates the controller.
+     *
+     * @param board the blackboard
+     * @param peers connections to other daemons
+     */
+    public DirectoryController(Blackboard board, Peers peers) {
+        this.board = board;
+        this.peers = peers;
+    }
+
+    /** Starts to listen for records and members. */
+    public void start() {
+        board.records().listen(this::onRecord);
+        board.members().listen(this::onMember);
+    }
+
+    private void onRecord(Record r) {
+        if (!r.getName().startsWith(HostRecord.PREFIX)) {
+            return;
+        }
+        try {
+            board.directory().update(Json.read(r.getValue().toByteArray(), HostRecord.class));
+        } catch (FuchsiastandException e) {
+            Logger.error(e, "the record {} cannot be read", r.getName());
+        }
+    }
+
+    private void onMember(Member m) {
+        board.directory().hostChanged(m.host());
+        if (m.state() == MemberState.DEAD || m.state() == MemberState.LEFT) {
+            Logger.info("member {} is {}", m.host(), m.state());
+            peers.forget(m);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/Freshness.java
@@ -0,0 +1,9 @@
+package io.fuchsiastand.daemon;
+
+/**
+ * When this daemon last heard from the sources of keys and configuration, by its monotonic clock.
+ *
+ * @param platform last answer of the platform to this daemon, in nanoseconds
+ * @param peer last answer of another daemon, in nanoseconds
+ */
+public record Freshness(long platform, long peer) {}
--- /dev/null
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/Fuchsiad.java
@@ -0,0 +1,83 @@
+package io.fuchsiastand.daemon;
+
+import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
+
+import io.fuchsiastand.error.ErrorCode;
+import io.fuchsiastand.error.FuchsiastandException;
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+import org.kohsuke.args4j.Option;
+import org.tinylog.Logger;
+
+/** The program {@code fuchsiad}: runs a daemon until it is told to end. */
+public final class Fuchsiad {
+
+    private static final int EXIT_USAGE = 2;
+    private static final int EXIT_FAILURE = 1;
+
+    @Option(name = "--settings", metaVar = "FILE", usage = "the settings, in TOML", required = true)
+    private Path settings;
+
+    @Option(name = "--check", usage = "check the settings and end")
+    private boolean check;
+
+    @Option(name = "--help", help = true, usage = "print this text")
+    private boolean help;
+
+    private Fuchsiad() {}
+
+    /**
+     * Runs the program.
+     *
+     * @param args the command line
+     */
+    public static void main(String[] args) {
+        Fuchsiad program = new Fuchsiad();
+        CmdLineParser parser = new CmdLineParser(program);
+        try {
+            parser.parseArgument(args);
+        } catch (CmdLineException e) {
+            System.err.println(ErrorCode.USAGE.code() + " " + e.getMessage());
+            parser.printUsage(System.err);
+            System.exit(EXIT_USAGE);
+        }
+        if (program.help) {
+            System.out.println("fuchsiad --settings FILE [--check]");
+            parser.printUsage(System.out);
+            return;
+        }
+        try {
+            program.run();
+        } catch (FuchsiastandException e) {
+            System.err.println(e.code().code() + " " + e.code().title() + ":\n" + e.getMessage());
+            System.exit(EXIT_FAILURE);
+        }
+    }
+
+    private void run() {
+        Settings s = Settings.read(settings);
+        if (check) {
+            System.out.println("the settings are good");
+            return;
+        }
+        if (s.tls().isEmpty()) {
+            Logger.warn("insecure = true: traffic between daemons is neither encrypted nor authenticated");
+        }
+        Daemon daemon = new Daemon(s);
+        CountDownLatch ended = new CountDownLatch(1);
+        Runtime.getRuntime()
+                .addShutdownHook(new Thread(
+                        () -> {
+                            daemon.drain();
+                            daemon.close();
+                            ended.countDown();
+                        },
+                        "shutdown"));
+        try {
+            ended.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/GossipController.java
@@ -0,0 +1,279 @@
+package io.fuchsiastand.daemon;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+import io.fuchsiastand.membership.Member;
+import io.fuchsiastand.membership.Membership;
+import io.fuchsiastand.protocol.MemberState;
+import io.fuchsiastand.protocol.MemberUpdate;
+import io.fuchsiastand.protocol.PeerGrpc;
+import io.fuchsiastand.protocol.ProbeReply;
+import io.fuchsiastand.protocol.ProbeRequest;
+import io.fuchsiastand.protocol.Record;
+import io.fuchsiastand.protocol.SyncReply;
+import io.fuchsiastand.protocol.SyncRequest;
+import io.grpc.stub.StreamObserver;
+import org.tinylog.Logger;
+
+/**
+ * Probes neighbours, passes on news with the probes, and repairs what was missed by comparing records with a neighbour
+ * now and then. Reads the records, writes the members, the freshness of peers, and the records that peers send.
+ */
+public final class GossipController {
+
+    /** Time between two ticks. */
+    public static final Duration TICK = Duration.ofMillis(200);
+
+    private static final Duration SYNC_PERIOD = Duration.ofSeconds(2);
+    private static final Duration CALL_TIMEOUT = Duration.ofSeconds(2);
+    private static final Duration REJOIN_PERIOD = Duration.ofSeconds(2);
+    private static final int MOST_JOINS = 3;
+
+    private final Blackboard board;
+    private final Peers peers;
+    private final Supplier<List<String>> missing;
+    private final SplittableRandom random = new SplittableRandom();
+    private final Set<Settings.Endpoint> seeds = ConcurrentHashMap.newKeySet();
+    private volatile boolean synced;
+    private long lastProbe;
+    private long lastSync;
+    private long lastJoin;
+
+    /**
+     * Creates the controller.
+     *
+     * @param board the blackboard
+     * @param peers connections to other daemons
+     * @param missing names of content records that are needed
+     */
+    public GossipController(Blackboard board, Peers peers, Supplier<List<String>> missing) {
+        this.board = board;
+        this.peers = peers;
+        this.missing = missing;
+        seeds.addAll(board.settings().seeds());
+    }
+
+    /**
+     * Adds daemons to ask for members.
+     *
+     * @param found addresses from the join records of the platform
+     */
+    public void addSeeds(Collection<Settings.Endpoint> found) {
+        seeds.addAll(found);
+    }
+
+    /**
+     * Tells whether this daemon has had all records of a peer since it started.
+     *
+     * @return true once a comparison found no difference
+     */
+    public boolean isSynced() {
+        return synced;
+    }
+
+    /** Does what is due. */
+    public void tick() {
+        long now = board.clock().nanoTime();
+        Membership members = board.members();
+        members.expire();
+        if (now - lastJoin >= REJOIN_PERIOD.toNanos() || lastJoin == 0) {
+            lastJoin = now;
+            join();
+        }
+        if (members.neighbours().isEmpty()) {
+            return;
+        }
+        boolean news = members.hasUpdates() || board.records().hasRumours();
+        if (news || now - lastProbe >= Membership.PROBE_PERIOD.toNanos()) {
+            lastProbe = now;
+            members.nextProbe().ifPresent(this::probe);
+        }
+        if (!synced || now - lastSync >= SYNC_PERIOD.toNanos()) {
+            lastSync = now;
+            sync(anyNeighbour());
+        }
+        List<String> wanted = missing.get();
+        if (!wanted.isEmpty()) {
+            fetch(anyNeighbour(), wanted);
+        }
+    }
+
+    /**
+     * Answers a probe.
+     *
+     * @param request the probe
+     * @param answer called with the answer
+     */
+    public void onProbe(ProbeRequest request, Consumer<ProbeReply> answer) {
+        boolean known = board.members().find(request.getFrom()).isPresent();
+        receive(request.getUpdatesList(), request.getRecordsList());
+        String self = board.settings().host();
+        if (request.getTarget().isEmpty()) {
+            answer.accept(ProbeReply.newBuilder()
+                    .setAcknowledged(true)
+                    .addAllUpdates(board.members().snapshot())
+                    .build());
+        } else if (request.getTarget().equals(self)) {
+            answer.accept(reply(true, known));
+        } else {
+            Member target = board.members().find(request.getTarget()).orElse(null);
+            if (target == null) {
+                answer.accept(reply(false, known));
+                return;
+            }
+            send(target, target.host(), Membership.PROBE_TIMEOUT)
+                    .whenComplete((r, e) -> answer.accept(reply(e == null && r.getAcknowledged(), known)));
+        }
+    }
+
+    /**
+     * Answers a comparison of records.
+     *
+     * @param request the request
+     * @return the answer
+     */
+    public SyncReply onSync(SyncRequest request) {
+        receive(List.of(), request.getRecordsList());
+        return board.records().answerSync(request);
+    }
+
+    /** Tells the neighbours that this daemon leaves. */
+    public void leave() {
+        board.members().leave();
+        for (Member m : board.members().neighbours()) {
+            send(m, m.host(), Membership.PROBE_TIMEOUT);
+        }
+    }
+
+    // Asks seeds that are not members yet. Two parts of a fleet that started apart find each other in this way.
+    private void join() {
+        ProbeRequest request = ProbeRequest.newBuilder()
+                .setFrom(board.settings().host())
+                .addUpdates(board.members().self().toUpdate())
+                .build();
+        seeds.stream()
+                .filter(s -> board.members().all().stream()
+                        .noneMatch(m -> m.peerPort() == s.port() && m.address().equals(s.host())))
+                .limit(MOST_JOINS)
+                .forEach(s -> peers.<ProbeReply>call(
+                                s.host(), s.port(), CALL_TIMEOUT, (stub, o) -> stub.probe(request, o))
+                        .whenComplete((r, e) -> {
+                            if (e == null) {
+                                Logger.info("joined through {}:{}", s.host(), s.port());
+                                receive(r.getUpdatesList(), r.getRecordsList());
+                            } else if (seeds.size() > MOST_JOINS) {
+                                // Records of hosts that are long gone must not keep others from being asked.
+                                seeds.remove(s);
+                            }
+                        }));
+    }
+
+    private void probe(Member target) {
+        send(target, target.host(), Membership.PROBE_TIMEOUT).whenComplete((r, e) -> {
+            if (e != null) {
+                probeIndirectly(target);
+            }
+        });
+    }
+
+    private void probeIndirectly(Member target) {
+        List<Member> helpers = board.members().helpers(target.host());
+        if (helpers.isEmpty()) {
+            board.members().suspect(target.host());
+            return;
+        }
+        AtomicInteger left = new AtomicInteger(helpers.size());
+        AtomicInteger acknowledged = new AtomicInteger();
+        for (Member h : helpers) {
+            send(h, target.host(), Membership.PROBE_TIMEOUT.multipliedBy(2)).whenComplete((r, e) -> {
+                if (e == null && r.getAcknowledged()) {
+                    acknowledged.incrementAndGet();
+                }
+                if (left.decrementAndGet() == 0 && acknowledged.get() == 0) {
+                    board.members().suspect(target.host());
+                }
+            });
+        }
+    }
+
+    private CompletableFuture<ProbeReply> send(Member to, String target, Duration timeout) {
+        ProbeRequest.Builder b = ProbeRequest.newBuilder()
+                .setFrom(board.settings().host())
+                .setTarget(target)
+                .addAllUpdates(board.members().takeUpdates())
+                .addAllRecords(board.records().takeRumours());
+        if (to.state() != MemberState.ALIVE) {
+            // A member that is suspected hears of it first hand, so that it can refute.
+            b.addUpdates(to.toUpdate());
+        }
+        ProbeRequest request = b.build();
+        return peers.<ProbeReply>call(to, timeout, (stub, o) -> stub.probe(request, o))
+                .whenComplete((r, e) -> {
+                    if (e == null) {
+                        receive(r.getUpdatesList(), r.getRecordsList());
+                    }
+                });
+    }
+
+    private void sync(Member with) {
+        String self = board.settings().host();
+        SyncRequest first = board.records().startSync(self);
+        call(with, first).thenAccept(r -> {
+            Optional<SyncRequest> next = board.records().continueSync(self, r);
+            if (next.isEmpty()) {
+                synced = true;
+                return;
+            }
+            call(with, next.get()).thenAccept(answer -> receive(List.of(), answer.getRecordsList()));
+        });
+    }
+
+    private void fetch(Member from, List<String> names) {
+        SyncRequest request = SyncRequest.newBuilder()
+                .setFrom(board.settings().host())
+                .addAllWanted(names)
+                .build();
+        call(from, request).thenAccept(r -> receive(List.of(), r.getRecordsList()));
+    }
+
+    private CompletableFuture<SyncReply> call(Member to, SyncRequest request) {
+        return peers.call(
+                to, CALL_TIMEOUT, (PeerGrpc.PeerStub stub, StreamObserver<SyncReply> o) -> stub.sync(request, o));
+    }
+
+    private ProbeReply reply(boolean acknowledged, boolean known) {
+        List<MemberUpdate> updates = new ArrayList<>(board.members().takeUpdates());
+        if (!known) {
+            updates.addAll(board.members().snapshot());
+        }
+        return ProbeReply.newBuilder()
+                .setAcknowledged(acknowledged)
+                .addAllUpdates(updates)
+                .addAllRecords(board.records().takeRumours())
+                .build();
+    }
+
+    private void receive(List<MemberUpdate> updates, List<Record> records) {
+        Freshness f = board.freshness().get();
+        board.freshness().set(new Freshness(f.platform(), board.clock().nanoTime()));
+        board.members().apply(updates);
+        int size = board.fleetSize();
+        records.forEach(r -> board.records().put(r, size));
+    }
+
+    private Member anyNeighbour() {
+        List<Member> all = board.members().neighbours();
+        return all.get(random.nextInt(all.size()));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/Lifecycle.java
@@ -0,0 +1,11 @@
+package io.fuchsiastand.daemon;
+
+/** The life of a daemon. */
+public enum Lifecycle {
+    /** Has no configuration yet. */
+    STARTING,
+    /** Takes calls. */
+    READY,
+    /** Finishes the calls in flight and takes no new ones. */
+    DRAINING
+}
--- /dev/null
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/LimitClient.java
@@ -0,0 +1,172 @@
+package io.fuchsiastand.daemon;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+
+import io.fuchsiastand.limit.BatchCache;
+import io.fuchsiastand.limit.Grant;
+import io.fuchsiastand.limit.ShardEntry;
+import io.fuchsiastand.limit.TeamService;
+import io.fuchsiastand.membership.Member;
+import io.fuchsiastand.membership.Membership;
+import io.fuchsiastand.protocol.AcquireReply;
+import io.fuchsiastand.protocol.AcquireRequest;
+import io.fuchsiastand.protocol.AcquireResult;
+import io.servicetalk.concurrent.api.Single;
+
+import static io.servicetalk.concurrent.api.Single.fromStage;
+import static io.servicetalk.concurrent.api.Single.succeeded;
+
+/**
+ * Gets the decision about a request: from tokens taken ahead, from this daemon's own rights, from the holder of the
+ * team's shard, from its standby, or from either through another peer.
+ */
+public final class LimitClient {
+
+    private static final Duration TIMEOUT = Duration.ofMillis(250);
+
+    private final Blackboard board;
+    private final Peers peers;
+    private final LimitController limits;
+    private final BatchCache cache = new BatchCache();
+
+    /**
+     * Creates the client.
+     *
+     * @param board the blackboard
+     * @param peers connections to other daemons
+     * @param limits the rights of this daemon
+     */
+    public LimitClient(Blackboard board, Peers peers, LimitController limits) {
+        this.board = board;
+        this.peers = peers;
+        this.limits = limits;
+    }
+
+    /**
+     * Takes a token for a request.
+     *
+     * @param team the name of the team
+     * @param service the name of the service
+     * @return the decision; {@link AcquireResult#NO_RIGHT} if none could be had
+     */
+    public Single<Grant> acquire(String team, String service) {
+        TeamService key = new TeamService(team, service);
+        long now = board.clock().nanoTime();
+        switch (cache.take(key, now)) {
+            case GRANTED -> {
+                return succeeded(new Grant(AcquireResult.GRANTED, 0, 0, 0, 0));
+            }
+            case REFUSED -> {
+                return succeeded(new Grant(AcquireResult.OVER_RATE, 0, 0, cache.retryAfterMillis(key, now), 0));
+            }
+            default -> {
+                return ask(key, now);
+            }
+        }
+    }
+
+    /**
+     * Answers a peer, or asks another on its behalf.
+     *
+     * @param request the request of the peer
+     * @return the decision
+     */
+    public CompletionStage<AcquireReply> onAcquire(AcquireRequest request) {
+        String to = request.getRelayTo();
+        if (to.isEmpty() || to.equals(board.settings().host())) {
+            TeamService key = new TeamService(request.getTeam(), request.getService());
+            return CompletableFuture.completedFuture(
+                    toReply(limits.acquire(request.getShard(), key, request.getBatch())));
+        }
+        Optional<Member> m = board.members().find(to);
+        if (m.isEmpty()) {
+            return CompletableFuture.completedFuture(toReply(Grant.NOT_HOLDER));
+        }
+        return send(m.get(), request.toBuilder().clearRelayTo().build());
+    }
+
+    private Single<Grant> ask(TeamService key, long sentAt) {
+        int shard = limits.shardOf(key.team());
+        ShardEntry row = shard < 0 ? null : limits.row(shard).orElse(null);
+        if (row == null) {
+            return succeeded(Grant.NO_RIGHT);
+        }
+        int batch = cache.batchFor(key);
+        String self = board.settings().host();
+        if (row.names(self)) {
+            Grant own = limits.acquire(shard, key, batch);
+            if (own.result() == AcquireResult.GRANTED || own.result() == AcquireResult.OVER_RATE) {
+                cache.accept(key, own, sentAt);
+                return succeeded(own);
+            }
+        }
+        AcquireRequest request = AcquireRequest.newBuilder()
+                .setFrom(self)
+                .setShard(shard)
+                .setTeam(key.team())
+                .setService(key.service())
+                .setBatch(batch)
+                .build();
+        List<String> hosts = row.hosts().stream().filter(h -> !h.equals(self)).toList();
+        return fromStage(askEach(hosts, 0, request)).map(g -> {
+            cache.accept(key, g, sentAt);
+            return g;
+        });
+    }
+
+    private CompletionStage<Grant> askEach(List<String> hosts, int i, AcquireRequest request) {
+        if (i == hosts.size()) {
+            return CompletableFuture.completedFuture(Grant.NO_RIGHT);
+        }
+        return askOne(hosts.get(i), request)
+                .thenCompose(g -> g.result() == AcquireResult.GRANTED || g.result() == AcquireResult.OVER_RATE
+                        ? CompletableFuture.completedFuture(g)
+                        : askEach(hosts, i + 1, request));
+    }
+
+    private CompletionStage<Grant> askOne(String host, AcquireRequest request) {
+        Optional<Member> m = board.members().find(host).filter(Member::isReachable);
+        if (m.isEmpty()) {
+            return CompletableFuture.completedFuture(Grant.NOT_HOLDER);
+        }
+        return send(m.get(), request)
+                .handle((r, e) ->
+                        e == null ? CompletableFuture.completedFuture(toGrant(r)) : askThroughPeer(host, request))
+                .thenCompose(f -> f);
+    }
+
+    // The link may be cut one way only, while another peer still reaches the holder.
+    private CompletableFuture<Grant> askThroughPeer(String host, AcquireRequest request) {
+        List<Member> helpers =
+                Membership.rendezvous(request.getTeam(), board.members().helpers(host));
+        if (helpers.isEmpty()) {
+            return CompletableFuture.completedFuture(Grant.NOT_HOLDER);
+        }
+        AcquireRequest relayed = request.toBuilder().setRelayTo(host).build();
+        return send(helpers.get(0), relayed)
+                .handle((r, e) -> e == null ? toGrant(r) : Grant.NOT_HOLDER)
+                .toCompletableFuture();
+    }
+
+    private CompletionStage<AcquireReply> send(Member m, AcquireRequest request) {
+        return peers.<AcquireReply>call(m, TIMEOUT, (stub, o) -> stub.acquire(request, o));
+    }
+
+    private static AcquireReply toReply(Grant g) {
+        return AcquireReply.newBuilder()
+                .setResult(g.result())
+                .setBatch(g.batch())
+                .setValidMillis(g.validMillis())
+                .setRetryAfterMillis(g.retryAfterMillis())
+                .setRemaining(g.remaining())
+                .build();
+    }
+
+    private static Grant toGrant(AcquireReply r) {
+        return new Grant(r.getResult(), r.getBatch(), r.getValidMillis(), r.getRetryAfterMillis(), r.getRemaining());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/LocalBackend.java
@@ -0,0 +1,228 @@
+package io.fuchsiastand.daemon;
+
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+
+import io.fuchsiastand.config.Service;
+import io.fuchsiastand.health.BackendHealth;
+import io.fuchsiastand.health.Baseline;
+import io.fuchsiastand.health.Outcome;
+import io.fuchsiastand.queue.FairQueue;
+import io.fuchsiastand.routing.BackendServer;
+import io.fuchsiastand.routing.BackendState;
+import io.fuchsiastand.time.Clock;
+import io.servicetalk.http.api.StreamingHttpClient;
+
+/** A backend server of this host: its announcement, its slots, its health and the calls that it runs. */
+public final class LocalBackend {
+
+    private static final double OVERDUE_FACTOR = 4;
+    private static final double LEAST_OVERDUE_MILLIS = 500;
+    private static final double NANOS_PER_MILLI = 1e6;
+    private static final long LEAK_GRACE_NANOS = 5_000_000_000L;
+
+    private final Announcement announcement;
+    private final StreamingHttpClient client;
+    private final FairQueue queue;
+    private final BackendHealth health;
+    private final Clock clock;
+    private final Map<Long, Call> calls = new ConcurrentHashMap<>();
+    private final AtomicLong numbers = new AtomicLong();
+    private volatile long expires;
+
+    /**
+     * What a backend server says of itself.
+     *
+     * @param id its name, unique on its host
+     * @param service the service it belongs to
+     * @param address its IP address
+     * @param port its port
+     * @param slots calls it takes at a time
+     * @param ttlSeconds time for which the announcement holds
+     */
+    public record Announcement(String id, String service, String address, int port, int slots, int ttlSeconds) {}
+
+    /** A call in flight. */
+    public final class Call {
+        private final long number = numbers.incrementAndGet();
+        private final FairQueue.Lease lease;
+        private final long since = clock.nanoTime();
+        private final OwnedCall call;
+        private volatile double headMillis;
+        private boolean judged;
+        private boolean ended;
+
+        private Call(FairQueue.Lease lease, OwnedCall call) {
+            this.lease = lease;
+            this.call = call;
+        }
+
+        /**
+         * Ends the call and gives its slot back. Calls after the first do nothing.
+         *
+         * @param outcome what it says of the backend server
+         */
+        public void end(Outcome outcome) {
+            synchronized (this) {
+                if (ended) {
+                    return;
+                }
+                ended = true;
+            }
+            calls.remove(number);
+            judge(outcome);
+            lease.release();
+        }
+
+        /**
+         * Returns the time since the call was sent.
+         *
+         * @return milliseconds
+         */
+        public double millis() {
+            return (clock.nanoTime() - since) / NANOS_PER_MILLI;
+        }
+
+        private synchronized void judge(Outcome outcome) {
+            if (!judged) {
+                judged = true;
+                health.observe(outcome, headMillis > 0 ? headMillis : millis(), call.baseline(), clock.nanoTime());
+            }
+        }
+
+        /**
+         * Records the arrival of the head of the answer, which ends the service time.
+         *
+         * @return the service time in milliseconds
+         */
+        public double head() {
+            headMillis = millis();
+            return headMillis;
+        }
+
+        // A call that takes far longer than the service's slow calls counts as a failure before its deadline.
+        private void checkOverdue(long now) {
+            Baseline b = call.baseline();
+            double most = Math.max(LEAST_OVERDUE_MILLIS, OVERDUE_FACTOR * b.slowMillis());
+            if (headMillis == 0 && b.slowMillis() > 0 && (now - since) / NANOS_PER_MILLI > most) {
+                judge(Outcome.FAILURE);
+            }
+            if (now > call.deadline() + LEAK_GRACE_NANOS) {
+                end(Outcome.CANCELLED);
+            }
+        }
+    }
+
+    /**
+     * Creates a backend server that has just announced itself.
+     *
+     * @param announcement what it says of itself
+     * @param service the settings of its service
+     * @param client the client that connects to it
+     * @param clock the clock
+     */
+    public LocalBackend(Announcement announcement, Service service, StreamingHttpClient client, Clock clock) {
+        this.announcement = announcement;
+        this.client = client;
+        this.clock = clock;
+        queue = new FairQueue(announcement.slots(), service.queue(), clock);
+        health = new BackendHealth(service.detection(), clock.nanoTime());
+        renew(announcement.ttlSeconds());
+    }
+
+    /**
+     * Returns the announcement.
+     *
+     * @return what the backend server says of itself
+     */
+    public Announcement announcement() {
+        return announcement;
+    }
+
+    /**
+     * Returns the client.
+     *
+     * @return the client that connects to the backend server
+     */
+    public StreamingHttpClient client() {
+        return client;
+    }
+
+    /**
+     * Returns the queue.
+     *
+     * @return the slots and the waiting calls
+     */
+    public FairQueue queue() {
+        return queue;
+    }
+
+    /**
+     * Returns the health.
+     *
+     * @return what real calls say of the backend server
+     */
+    public BackendHealth health() {
+        return health;
+    }
+
+    /**
+     * Renews the announcement.
+     *
+     * @param ttlSeconds time for which it holds
+     */
+    public void renew(int ttlSeconds) {
+        expires = clock.nanoTime() + ttlSeconds * 1_000_000_000L;
+    }
+
+    /**
+     * Begins a call in a slot.
+     *
+     * @param lease the slot
+     * @param call the call
+     * @return the call in flight
+     */
+    public Call begin(FairQueue.Lease lease, OwnedCall call) {
+        Call c = new Call(lease, call);
+        calls.put(c.number, c);
+        return c;
+    }
+
+    /**
+     * Moves on with time.
+     *
+     * @param now monotonic time in nanoseconds
+     */
+    public void tick(long now) {
+        calls.values().forEach(c -> c.checkOverdue(now));
+        health.tick(now);
+    }
+
+    /**
+     * Tells whether the announcement has run out.
+     *
+     * @param now monotonic time in nanoseconds
+     * @return true if it was not renewed in time
+     */
+    public boolean isExpired(long now) {
+        return now - expires >= 0;
+    }
+
+    /**
+     * Describes the backend server to the fleet.
+     *
+     * @param now monotonic time in nanoseconds
+     * @return the description
+     */
+    public BackendServer describe(long now) {
+        BackendState s = health.state();
+        return new BackendServer(
+                announcement.id(),
+                announcement.service(),
+                announcement.slots(),
+                s,
+                health.weight(now),
+                health.severity());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/OnceOnly.java
@@ -0,0 +1,111 @@
+package io.fuchsiastand.daemon;
+
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Function;
+
+import com.google.protobuf.ByteString;
+import io.fuchsiastand.error.ErrorCode;
+import io.fuchsiastand.key.Digests;
+import io.fuchsiastand.protocol.TrackPhase;
+import io.fuchsiastand.protocol.TrackRequest;
+import io.fuchsiastand.protocol.TrackResult;
+import io.servicetalk.concurrent.api.Single;
+import io.servicetalk.http.api.StreamingHttpResponse;
+
+import static io.servicetalk.concurrent.api.Single.failed;
+import static io.servicetalk.concurrent.api.Single.fromStage;
+
+/**
+ * Runs a request with an idempotency key at most once, whichever daemon its caller tries again: the key is begun at the
+ * holder of the team's shard before the request is sent on, and ended after.
+ */
+public final class OnceOnly {
+
+    private static final int MOST_KEY_LENGTH = 256;
+
+    private final IdempotencyController keys;
+    private final LimitController limits;
+    private final String host;
+    private final Function<Exchange, Single<StreamingHttpResponse>> next;
+
+    /**
+     * Creates the stage.
+     *
+     * @param keys begins and ends keys
+     * @param limits finds shards
+     * @param host the name of this host
+     * @param next runs the exchange
+     */
+    public OnceOnly(
+            IdempotencyController keys,
+            LimitController limits,
+            String host,
+            Function<Exchange, Single<StreamingHttpResponse>> next) {
+        this.keys = keys;
+        this.limits = limits;
+        this.host = host;
+        this.next = next;
+    }
+
+    /**
+     * Runs an exchange.
+     *
+     * @param exchange the request with its route and its team
+     * @return the answer, or a {@link RefusalException}
+     */
+    public Single<StreamingHttpResponse> run(Exchange exchange) {
+        CharSequence key = exchange.request().headers().get(HeaderNames.IDEMPOTENCY_KEY);
+        if (key == null || exchange.team().isEmpty() || exchange.isIdempotent()) {
+            return next.apply(exchange);
+        }
+        if (key.isEmpty() || key.length() > MOST_KEY_LENGTH) {
+            return failed(RefusalException.notRun(
+                    ErrorCode.BAD_REQUEST, "an idempotency key has 1 to " + MOST_KEY_LENGTH + " characters"));
+        }
+        String service = exchange.match().service().name();
+        String digest = Digests.ofText(exchange.team() + '\n' + service + '\n' + key);
+        TrackRequest begin = TrackRequest.newBuilder()
+                .setFrom(host)
+                .setShard(limits.shardOf(exchange.team()))
+                .setTeam(exchange.team())
+                .setKeyDigest(ByteString.copyFromUtf8(digest))
+                .setPhase(TrackPhase.BEGIN)
+                .setAttempt(ThreadLocalRandom.current().nextLong())
+                .build();
+        return fromStage(keys.track(begin))
+                .flatMap(r -> r == TrackResult.STARTED ? started(exchange, begin) : failed(refusal(r)));
+    }
+
+    private Single<StreamingHttpResponse> started(Exchange exchange, TrackRequest begin) {
+        return next.apply(exchange)
+                .beforeOnSuccess(r -> tell(begin, phaseOf(r)))
+                .beforeOnError(e -> tell(
+                        begin, e instanceof RefusalException x && x.isNotRun() ? TrackPhase.CANCEL : TrackPhase.LOSE))
+                .beforeCancel(() -> tell(begin, TrackPhase.LOSE));
+    }
+
+    private static TrackPhase phaseOf(StreamingHttpResponse r) {
+        CharSequence state = r.headers().get(HeaderNames.RUN_STATE);
+        if (state == null) {
+            return TrackPhase.END;
+        }
+        return HeaderNames.NOT_RUN.contentEquals(state) ? TrackPhase.CANCEL : TrackPhase.LOSE;
+    }
+
+    private void tell(TrackRequest begin, TrackPhase phase) {
+        keys.track(begin.toBuilder().setPhase(phase).build());
+    }
+
+    private static RefusalException refusal(TrackResult r) {
+        return switch (r) {
+            case RUNNING ->
+                RefusalException.unknown(ErrorCode.IDEMPOTENCY_RUNNING, ErrorCode.IDEMPOTENCY_RUNNING.title(), null);
+            case RAN -> RefusalException.unknown(ErrorCode.IDEMPOTENCY_RAN, ErrorCode.IDEMPOTENCY_RAN.title(), null);
+            case UNKNOWN ->
+                RefusalException.unknown(ErrorCode.IDEMPOTENCY_UNKNOWN, ErrorCode.IDEMPOTENCY_UNKNOWN.title(), null);
+            default ->
+                RefusalException.notRun(
+                        ErrorCode.IDEMPOTENCY_UNAVAILABLE, ErrorCode.IDEMPOTENCY_UNAVAILABLE.title(), 1000);
+        };
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/PeerServer.java
@@ -0,0 +1,93 @@
+package io.fuchsiastand.daemon;
+
+import java.util.concurrent.CompletionStage;
+
+import io.fuchsiastand.protocol.AcquireReply;
+import io.fuchsiastand.protocol.AcquireRequest;
+import io.fuchsiastand.protocol.PeerGrpc;
+import io.fuchsiastand.protocol.ProbeReply;
+import io.fuchsiastand.protocol.ProbeRequest;
+import io.fuchsiastand.protocol.RenewBatch;
+import io.fuchsiastand.protocol.RenewBatchReply;
+import io.fuchsiastand.protocol.SurrenderReply;
+import io.fuchsiastand.protocol.SurrenderRequest;
+import io.fuchsiastand.protocol.SyncReply;
+import io.fuchsiastand.protocol.SyncRequest;
+import io.fuchsiastand.protocol.TrackReply;
+import io.fuchsiastand.protocol.TrackRequest;
+import io.grpc.Status;
+import io.grpc.stub.StreamObserver;
+
+/** Hands control traffic of other daemons to the controllers. */
+public final class PeerServer extends PeerGrpc.PeerImplBase {
+
+    private final GossipController gossip;
+    private final LimitController limits;
+    private final LimitClient acquirer;
+    private final IdempotencyController idempotency;
+
+    /**
+     * Creates the server.
+     *
+     * @param gossip answers probes and comparisons of records
+     * @param limits answers partners of shards
+     * @param acquirer answers ingress daemons
+     * @param idempotency answers about idempotency keys
+     */
+    public PeerServer(
+            GossipController gossip, LimitController limits, LimitClient acquirer, IdempotencyController idempotency) {
+        this.gossip = gossip;
+        this.limits = limits;
+        this.acquirer = acquirer;
+        this.idempotency = idempotency;
+    }
+
+    @Override
+    public void probe(ProbeRequest request, StreamObserver<ProbeReply> out) {
+        gossip.onProbe(request, r -> answer(out, r));
+    }
+
+    @Override
+    public void sync(SyncRequest request, StreamObserver<SyncReply> out) {
+        answer(out, gossip.onSync(request));
+    }
+
+    @Override
+    public void acquire(AcquireRequest request, StreamObserver<AcquireReply> out) {
+        answerLater(out, acquirer.onAcquire(request));
+    }
+
+    @Override
+    public void renew(RenewBatch request, StreamObserver<RenewBatchReply> out) {
+        answer(out, limits.onRenew(request));
+    }
+
+    @Override
+    public void surrender(SurrenderRequest request, StreamObserver<SurrenderReply> out) {
+        answer(
+                out,
+                SurrenderReply.newBuilder()
+                        .setSurrendered(limits.onSurrender(request))
+                        .build());
+    }
+
+    @Override
+    public void track(TrackRequest request, StreamObserver<TrackReply> out) {
+        answerLater(out, idempotency.onTrack(request));
+    }
+
+    private static <T> void answer(StreamObserver<T> out, T value) {
+        out.onNext(value);
+        out.onCompleted();
+    }
+
+    private static <T> void answerLater(StreamObserver<T> out, CompletionStage<T> value) {
+        value.whenComplete((v, e) -> {
+            if (e == null) {
+                answer(out, v);
+            } else {
+                out.onError(Status.UNAVAILABLE.withCause(e).asRuntimeException());
+            }
+        });
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/Peers.java
@@ -0,0 +1,118 @@
+package io.fuchsiastand.daemon;
+
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+
+import io.fuchsiastand.membership.Member;
+import io.fuchsiastand.protocol.PeerGrpc;
+import io.grpc.ManagedChannel;
+import io.grpc.stub.StreamObserver;
+import io.servicetalk.http.api.StreamingHttpClient;
+
+/** Connections to other daemons, opened on first use and closed when the member is gone or has moved. */
+public final class Peers implements AutoCloseable {
+
+    private final Transport transport;
+    private final Map<String, ManagedChannel> channels = new ConcurrentHashMap<>();
+    private final Map<String, StreamingHttpClient> clients = new ConcurrentHashMap<>();
+
+    /**
+     * Creates the connections.
+     *
+     * @param transport makes clients
+     */
+    public Peers(Transport transport) {
+        this.transport = transport;
+    }
+
+    /**
+     * Calls a peer.
+     *
+     * @param address the IP address of the peer
+     * @param port its peer port
+     * @param timeout time for the answer
+     * @param call starts the call on a stub
+     * @param <T> the type of the answer
+     * @return the answer, or an error
+     */
+    public <T> CompletableFuture<T> call(
+            String address, int port, Duration timeout, BiConsumer<PeerGrpc.PeerStub, StreamObserver<T>> call) {
+        CompletableFuture<T> out = new CompletableFuture<>();
+        ManagedChannel channel =
+                channels.computeIfAbsent(address + ':' + port, k -> transport.peerChannel(address, port));
+        PeerGrpc.PeerStub stub = PeerGrpc.newStub(channel).withDeadlineAfter(timeout.toMillis(), TimeUnit.MILLISECONDS);
+        call.accept(stub, new FutureObserver<>(out));
+        return out;
+    }
+
+    /**
+     * Calls a member.
+     *
+     * @param member the member
+     * @param timeout time for the answer
+     * @param call starts the call on a stub
+     * @param <T> the type of the answer
+     * @return the answer, or an error
+     */
+    public <T> CompletableFuture<T> call(
+            Member member, Duration timeout, BiConsumer<PeerGrpc.PeerStub, StreamObserver<T>> call) {
+        return call(member.address(), member.peerPort(), timeout, call);
+    }
+
+    /**
+     * Returns the client for calls that are forwarded to a member.
+     *
+     * @param member the member
+     * @return a client with pooled connections
+     */
+    public StreamingHttpClient data(Member member) {
+        return clients.computeIfAbsent(
+                member.address() + ':' + member.dataPort(),
+                k -> transport.dataClient(member.address(), member.dataPort()));
+    }
+
+    /**
+     * Closes the connections to a member that is gone.
+     *
+     * @param member the member
+     */
+    public void forget(Member member) {
+        ManagedChannel channel = channels.remove(member.address() + ':' + member.peerPort());
+        if (channel != null) {
+            channel.shutdown();
+        }
+        StreamingHttpClient client = clients.remove(member.address() + ':' + member.dataPort());
+        if (client != null) {
+            client.closeAsyncGracefully().subscribe();
+        }
+    }
+
+    @Override
+    public void close() {
+        channels.values().forEach(ManagedChannel::shutdownNow);
+        clients.values().forEach(c -> c.closeAsync().subscribe());
+    }
+
+    /** Completes a future with the one answer of a call. */
+    private record FutureObserver<T>(CompletableFuture<T> out) implements StreamObserver<T> {
+
+        @Override
+        public void onNext(T value) {
+            out.complete(value);
+        }
+
+        @Override
+        public void onError(Throwable t) {
+            out.completeExceptionally(t);
+        }
+
+        @Override
+        public void onCompleted() {
+            out.completeExceptionally(new IllegalStateException("a peer ended a call without an answer"));
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/PlatformController.java
@@ -0,0 +1,312 @@
+package io.fuchsiastand.daemon;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.UUID;
+import java.util.function.Supplier;
+
+import io.fuchsiastand.config.ConfigurationCodec;
+import io.fuchsiastand.config.Json;
+import io.fuchsiastand.error.ErrorCode;
+import io.fuchsiastand.error.FuchsiastandException;
+import io.fuchsiastand.key.KeyBucket;
+import io.fuchsiastand.key.KeyEntry;
+import io.fuchsiastand.limit.ShardEntry;
+import io.fuchsiastand.membership.Member;
+import io.fuchsiastand.membership.Membership;
+import io.fuchsiastand.platform.ObjectStore;
+import io.fuchsiastand.platform.RetryingObjectStore;
+import io.fuchsiastand.platform.Snapshot;
+import io.fuchsiastand.platform.StoredObject;
+import io.fuchsiastand.protocol.Record;
+import io.fuchsiastand.replication.RecordStore;
+import org.tinylog.Logger;
+
+/**
+ * Brings objects of the platform into the records. Each daemon reads once at its start; after that only a few relays of
+ * each data centre watch, chosen by rendezvous hashing, and all others hear from peers, so that the calls to the
+ * platform do not grow with the fleet. Writes back what must last: the join record and withdrawals of keys.
+ */
+public final class PlatformController {
+
+    /** Prefix of the names of join records. */
+    public static final String MEMBERS = "members/";
+    /** Longest wait of a watch. */
+    public static final Duration WATCH_WAIT = Duration.ofSeconds(20);
+
+    private static final int RELAYS = 2;
+    private static final Duration IDLE = Duration.ofMillis(500);
+    private static final List<String> PREFIXES = List.of("config/", KeyBucket.PREFIX, ShardEntry.PREFIX);
+
+    private final Blackboard board;
+    private final ObjectStore store;
+    private final LimitController limits;
+    private final ShardTableWriter writer;
+    private final GossipController gossip;
+    private final Supplier<List<String>> missing;
+    private final SplittableRandom random = new SplittableRandom();
+    private volatile boolean loaded;
+    private volatile boolean running = true;
+    private boolean joined;
+    private int failures;
+    private long revision;
+
+    /**
+     * Creates the controller.
+     *
+     * @param board the blackboard
+     * @param store the platform
+     * @param limits the rights of this daemon
+     * @param gossip finds members
+     * @param missing names of content records that are needed
+     */
+    public PlatformController(
+            Blackboard board,
+            ObjectStore store,
+            LimitController limits,
+            GossipController gossip,
+            Supplier<List<String>> missing) {
+        this.board = board;
+        this.store = store;
+        this.limits = limits;
+        this.gossip = gossip;
+        this.missing = missing;
+        writer = new ShardTableWriter(board, limits, store);
+    }
+
+    /**
+     * The join record of a daemon.
+     *
+     * @param host the name of its host
+     * @param address its IP address
+     * @param peerPort its peer port
+     */
+    public record JoinRecord(String host, String address, int peerPort) {}
+
+    /**
+     * Tells whether the platform has answered since the start.
+     *
+     * @return true once the objects were listed
+     */
+    public boolean isLoaded() {
+        return loaded;
+    }
+
+    /** Watches the platform until stopped. Blocks; runs on a thread of its own. */
+    public void watchLoop() {
+        while (running) {
+            attempt(() -> {
+                if (!loaded) {
+                    load();
+                } else if (isRelay()) {
+                    watch();
+                } else {
+                    revision = 0;
+                    pause(IDLE);
+                }
+            });
+        }
+    }
+
+    /** Writes to the platform until stopped. Blocks; runs on a thread of its own. */
+    public void writeLoop() {
+        while (running) {
+            attempt(() -> {
+                if (loaded) {
+                    join();
+                    writer.bootstrap();
+                    writer.tick();
+                    fetchContent();
+                    writeWithdrawals();
+                }
+                pause(IDLE);
+            });
+        }
+    }
+
+    /** Stops both loops after the call in progress. */
+    public void stop() {
+        running = false;
+    }
+
+    /** Removes the join record of this daemon, if the platform answers. */
+    public void leave() {
+        try {
+            String name = MEMBERS + board.settings().host();
+            store.get(name).ifPresent(o -> store.delete(name, o.version()));
+        } catch (FuchsiastandException e) {
+            Logger.warn("the join record stays behind: {}", e.getMessage());
+        }
+    }
+
+    /**
+     * Tells whether this daemon watches the platform for its data centre.
+     *
+     * @return true if it is one of the first by rendezvous hashing
+     */
+    public boolean isRelay() {
+        List<Member> near = board.members().reachable().stream()
+                .filter(m -> m.dataCentre().equals(board.settings().dataCentre()))
+                .toList();
+        return Membership.rendezvous("relay", near).stream().limit(RELAYS).anyMatch(m -> m.host()
+                .equals(board.settings().host()));
+    }
+
+    private void load() {
+        store.list(MEMBERS).objects().forEach(this::takeMember);
+        list();
+        loaded = true;
+        Logger.info(
+                "the platform answered; {} records are known", board.records().size());
+    }
+
+    private void list() {
+        long first = 0;
+        for (String prefix : PREFIXES) {
+            long asked = board.clock().nanoTime();
+            Snapshot s = store.list(prefix);
+            s.objects().forEach(o -> take(o, asked));
+            first = first == 0 ? s.revision() : Math.min(first, s.revision());
+        }
+        revision = first;
+        touch();
+    }
+
+    private void watch() {
+        if (revision == 0) {
+            list();
+        }
+        long asked = board.clock().nanoTime();
+        Snapshot s = store.watch("", revision, WATCH_WAIT);
+        if (s.expired()) {
+            revision = 0;
+            return;
+        }
+        for (StoredObject o : s.objects()) {
+            if (o.isDeleted()) {
+                continue;
+            }
+            if (o.name().startsWith(MEMBERS)) {
+                takeMember(o);
+            } else if (PREFIXES.stream().anyMatch(p -> o.name().startsWith(p))) {
+                take(o, asked);
+            }
+        }
+        revision = s.revision();
+        touch();
+    }
+
+    private void takeMember(StoredObject o) {
+        JoinRecord j = Json.read(o.value(), JoinRecord.class);
+        gossip.addSeeds(List.of(new Settings.Endpoint(j.address(), j.peerPort())));
+    }
+
+    private void take(StoredObject o, long askedAt) {
+        board.records().put(RecordStore.record(o.name(), o.version(), o.value()), board.fleetSize());
+        if (o.name().startsWith(ShardEntry.PREFIX) && !o.name().equals(LimitController.META)) {
+            limits.confirm(Json.read(o.value(), ShardEntry.class), askedAt);
+        }
+    }
+
+    private void join() {
+        if (joined) {
+            return;
+        }
+        Member self = board.members().self();
+        String name = MEMBERS + self.host();
+        byte[] value = Json.write(new JoinRecord(self.host(), self.address(), self.peerPort()));
+        long version = store.get(name).map(StoredObject::version).orElse(StoredObject.ABSENT);
+        try {
+            store.put(name, value, version, UUID.randomUUID().toString());
+            joined = true;
+        } catch (FuchsiastandException e) {
+            if (e.code() != ErrorCode.CONFLICT) {
+                throw e;
+            }
+        }
+    }
+
+    private void fetchContent() {
+        for (String name : missing.get()) {
+            if (!isRelay() && name.startsWith(ConfigurationCodec.CHUNK_PREFIX) && board.fleetSize() > RELAYS) {
+                return;
+            }
+            store.get(name).ifPresent(o -> board.records()
+                    .put(RecordStore.record(name, o.version(), o.value()), board.fleetSize()));
+        }
+    }
+
+    // Withdrawals that were given while the platform was away are kept there once it is back.
+    private void writeWithdrawals() {
+        if (!isRelay()) {
+            return;
+        }
+        for (Record r : board.records().list(KeyBucket.WITHDRAWAL_PREFIX)) {
+            String digest = r.getName().substring(KeyBucket.WITHDRAWAL_PREFIX.length());
+            String bucket = KeyBucket.nameFor(digest);
+            KeyBucket known = board.records()
+                    .get(bucket)
+                    .map(b -> Json.read(b.getValue().toByteArray(), KeyBucket.class))
+                    .orElse(KeyBucket.EMPTY);
+            Optional<KeyEntry> entry =
+                    known.keys().stream().filter(k -> k.digest().equals(digest)).findFirst();
+            if (entry.isPresent() && entry.get().withdrawn() == null) {
+                writeWithdrawal(bucket, digest);
+            }
+        }
+    }
+
+    private void writeWithdrawal(String bucket, String digest) {
+        StoredObject o = store.get(bucket).orElse(null);
+        if (o == null) {
+            return;
+        }
+        KeyBucket current = Json.read(o.value(), KeyBucket.class);
+        for (KeyEntry k : current.keys()) {
+            if (k.digest().equals(digest) && k.withdrawn() == null) {
+                byte[] value = Json.write(current.with(k.withdraw(board.clock().now())));
+                try {
+                    long version = store.put(
+                            bucket, value, o.version(), UUID.randomUUID().toString());
+                    board.records().put(RecordStore.record(bucket, version, value), board.fleetSize());
+                } catch (FuchsiastandException e) {
+                    if (e.code() != ErrorCode.CONFLICT) {
+                        throw e;
+                    }
+                }
+                return;
+            }
+        }
+    }
+
+    private void touch() {
+        Freshness f = board.freshness().get();
+        board.freshness().set(new Freshness(board.clock().nanoTime(), f.peer()));
+    }
+
+    private void attempt(Runnable work) {
+        try {
+            work.run();
+            failures = 0;
+        } catch (FuchsiastandException e) {
+            failures++;
+            if (failures == 1) {
+                Logger.warn("{} {}", e.code().code(), e.getMessage());
+            }
+            pause(RetryingObjectStore.delay(Math.min(failures, 20), random));
+        } catch (RuntimeException e) {
+            Logger.error(e, "work with the platform failed");
+            pause(IDLE);
+        }
+    }
+
+    private static void pause(Duration wait) {
+        try {
+            Thread.sleep(wait.toMillis());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/Problems.java
@@ -0,0 +1,66 @@
+package io.fuchsiastand.daemon;
+
+import io.fuchsiastand.config.Json;
+import io.servicetalk.buffer.api.Buffer;
+import io.servicetalk.buffer.api.BufferAllocator;
+import io.servicetalk.concurrent.api.Publisher;
+import io.servicetalk.http.api.HttpResponseStatus;
+import io.servicetalk.http.api.StreamingHttpResponse;
+import io.servicetalk.http.api.StreamingHttpResponseFactory;
+
+/** Makes the answers by which a daemon refuses a call, with a body after RFC 9457. */
+public final class Problems {
+
+    private static final long MILLIS_PER_SECOND = 1000;
+    private static final String MEDIA_TYPE = "application/problem+json";
+
+    private Problems() {}
+
+    /**
+     * The body of a refusal.
+     *
+     * @param type names the kind of problem
+     * @param title the title of the code
+     * @param status the HTTP status
+     * @param detail what is wrong
+     * @param code the stable code
+     * @param runState whether the call ran
+     */
+    public record Body(String type, String title, int status, String detail, String code, String runState) {}
+
+    /**
+     * Makes an answer.
+     *
+     * @param factory makes answers
+     * @param allocator makes buffers
+     * @param refusal what to say
+     * @param host the name of this host
+     * @return the answer
+     */
+    public static StreamingHttpResponse answer(
+            StreamingHttpResponseFactory factory, BufferAllocator allocator, RefusalException refusal, String host) {
+        String runState = refusal.isNotRun() ? HeaderNames.NOT_RUN : HeaderNames.UNKNOWN;
+        String code = refusal.code().code();
+        byte[] body = Json.write(new Body(
+                "urn:fuchsiastand:" + code,
+                refusal.code().title(),
+                refusal.code().status(),
+                refusal.getMessage(),
+                code,
+                runState));
+        Buffer buffer = allocator.wrap(body);
+        StreamingHttpResponse r = factory.newResponse(
+                        HttpResponseStatus.of(refusal.code().status(), ""))
+                .payloadBody(Publisher.from(buffer));
+        r.headers()
+                .set("content-type", MEDIA_TYPE)
+                .set("content-length", Integer.toString(body.length))
+                .set(HeaderNames.RUN_STATE, runState)
+                .set(HeaderNames.REFUSED_BY, host);
+        if (refusal.retryAfterMillis() > 0) {
+            long seconds = (refusal.retryAfterMillis() + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND;
+            r.headers().set(HeaderNames.RETRY_AFTER, Long.toString(seconds));
+        }
+        return r;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/RefusalException.java
@@ -0,0 +1,106 @@
+package io.fuchsiastand.daemon;
+
+import io.fuchsiastand.error.ErrorCode;
+import io.fuchsiastand.error.FuchsiastandException;
+
+/** A call that is refused, and whether it may have run. */
+public final class RefusalException extends FuchsiastandException {
+
+    private static final long serialVersionUID = 1L;
+
+    private final boolean notRun;
+    private final long retryAfterMillis;
+    private final transient RateRefusal rate;
+
+    private RefusalException(ErrorCode code, String detail, boolean notRun, long retryAfterMillis, Throwable cause) {
+        this(code, detail, notRun, retryAfterMillis, cause, null);
+    }
+
+    private RefusalException(
+            ErrorCode code, String detail, boolean notRun, long retryAfterMillis, Throwable cause, RateRefusal rate) {
+        super(code, detail, cause);
+        this.rate = rate;
+        this.notRun = notRun;
+        this.retryAfterMillis = retryAfterMillis;
+    }
+
+    /**
+     * Refuses a call of which no byte can have reached a backend server.
+     *
+     * @param code the code
+     * @param detail what is wrong
+     * @return the refusal
+     */
+    public static RefusalException notRun(ErrorCode code, String detail) {
+        return new RefusalException(code, detail, true, 0, null);
+    }
+
+    /**
+     * Refuses a call that may run later.
+     *
+     * @param code the code
+     * @param detail what is wrong
+     * @param retryAfterMillis time after which to try again
+     * @return the refusal
+     */
+    public static RefusalException notRun(ErrorCode code, String detail, long retryAfterMillis) {
+        return new RefusalException(code, detail, true, retryAfterMillis, null);
+    }
+
+    /**
+     * Refuses a call over its rate.
+     *
+     * @param detail what is wrong
+     * @param retryAfterMillis time until a token will be there
+     * @param rate what the caller is told of its rate
+     * @return the refusal
+     */
+    public static RefusalException overRate(String detail, long retryAfterMillis, RateRefusal rate) {
+        return new RefusalException(ErrorCode.OVER_RATE, detail, true, retryAfterMillis, null, rate);
+    }
+
+    /**
+     * Reports a call that failed after it may have reached a backend server.
+     *
+     * @param code the code
+     * @param detail what is wrong
+     * @param cause the cause, or null
+     * @return the refusal
+     */
+    public static RefusalException unknown(ErrorCode code, String detail, Throwable cause) {
+        return new RefusalException(code, detail, false, 0, cause);
+    }
+
+    /**
+     * Tells whether the call certainly did not run.
+     *
+     * @return true if no byte of it can have reached a backend server
+     */
+    public boolean isNotRun() {
+        return notRun;
+    }
+
+    /**
+     * Returns the time after which to try again.
+     *
+     * @return milliseconds, 0 if unknown
+     */
+    public long retryAfterMillis() {
+        return retryAfterMillis;
+    }
+
+    /**
+     * Returns what the caller is told of its rate.
+     *
+     * @return the rate, or null if it is not the reason
+     */
+    public RateRefusal rate() {
+        return rate;
+    }
+
+    @Override
+    public synchronized Throwable fillInStackTrace() {
+        // Refusals are answers, thrown in great number under overload.
+        return this;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/RequestCheck.java
@@ -0,0 +1,82 @@
+package io.fuchsiastand.daemon;
+
+import java.util.Iterator;
+import java.util.Set;
+
+import io.fuchsiastand.error.ErrorCode;
+import io.servicetalk.http.api.HttpHeaders;
+import io.servicetalk.http.api.StreamingHttpRequest;
+
+/** Refuses requests whose framing or target two hosts could read in different ways (RFC 9112, section 6.3). */
+public final class RequestCheck {
+
+    private static final String CONTENT_LENGTH = "content-length";
+    private static final String TRANSFER_ENCODING = "transfer-encoding";
+    private static final Set<String> METHODS = Set.of("GET", "HEAD", "OPTIONS", "POST", "PUT", "PATCH", "DELETE");
+
+    private RequestCheck() {}
+
+    /**
+     * Checks a request.
+     *
+     * @param request the request
+     * @throws RefusalException if it must not be forwarded
+     */
+    public static void check(StreamingHttpRequest request) {
+        HttpHeaders h = request.headers();
+        if (!METHODS.contains(request.method().name())) {
+            throw bad("the method " + request.method().name() + " is not forwarded");
+        }
+        if (h.contains(CONTENT_LENGTH) && h.contains(TRANSFER_ENCODING)) {
+            throw bad("Content-Length and Transfer-Encoding together");
+        }
+        checkSame(h, CONTENT_LENGTH);
+        Iterator<? extends CharSequence> encodings = h.valuesIterator(TRANSFER_ENCODING);
+        while (encodings.hasNext()) {
+            if (!"chunked".equalsIgnoreCase(encodings.next().toString().strip())) {
+                throw bad("a Transfer-Encoding other than chunked");
+            }
+        }
+        checkOnce(h, "host");
+        checkOnce(h, HeaderNames.AUTHORIZATION);
+        checkOnce(h, HeaderNames.IDEMPOTENCY_KEY);
+    }
+
+    /**
+     * Tells whether a request has a body.
+     *
+     * @param request the request
+     * @return false if its headers say that there is none
+     */
+    public static boolean hasBody(StreamingHttpRequest request) {
+        HttpHeaders h = request.headers();
+        CharSequence length = h.get(CONTENT_LENGTH);
+        return h.contains(TRANSFER_ENCODING) || (length != null && !"0".contentEquals(length));
+    }
+
+    private static void checkSame(HttpHeaders h, String name) {
+        Iterator<? extends CharSequence> i = h.valuesIterator(name);
+        String first = null;
+        while (i.hasNext()) {
+            String v = i.next().toString();
+            if (!v.matches("[0-9]{1,18}") || (first != null && !first.equals(v))) {
+                throw bad("a broken or doubled " + name);
+            }
+            first = v;
+        }
+    }
+
+    private static void checkOnce(HttpHeaders h, String name) {
+        Iterator<? extends CharSequence> i = h.valuesIterator(name);
+        if (i.hasNext()) {
+            i.next();
+            if (i.hasNext()) {
+                throw bad("more than one " + name);
+            }
+        }
+    }
+
+    private static RefusalException bad(String what) {
+        return RefusalException.notRun(ErrorCode.BAD_REQUEST, "the request has " + what);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/Settings.java
@@ -0,0 +1,276 @@
+package io.fuchsiastand.daemon;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.stream.Collectors;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.fuchsiastand.config.Problem;
+import io.fuchsiastand.config.TomlFile;
+import io.fuchsiastand.error.ErrorCode;
+import io.fuchsiastand.error.FuchsiastandException;
+import io.fuchsiastand.limit.RightsTerms;
+
+/**
+ * The settings of a daemon, read from TOML; docs/CONFIGURATION.md lists them.
+ *
+ * @param host the name of this host, unique in the fleet
+ * @param dataCentre the data centre of this host
+ * @param address the IP address by which other daemons reach this host
+ * @param ports the ports to listen on
+ * @param platform the address of the platform
+ * @param seeds daemons to ask for members when the platform is away
+ * @param tls certificates for traffic between daemons, or nothing if the settings say insecure
+ * @param operatorDigest digest of the operators' credential for the admin port, or nothing to shut operators out
+ * @param shards number of shards of a fleet that has none yet
+ * @param terms the terms of rights on shards
+ * @param keysStale time without word from the platform or a peer after which keyed requests are refused
+ * @param mostInFlight requests in flight above which callers are refused
+ * @param accessLog whether each request is logged
+ */
+public record Settings(
+        String host,
+        String dataCentre,
+        String address,
+        Ports ports,
+        Endpoint platform,
+        List<Endpoint> seeds,
+        Optional<Tls> tls,
+        Optional<String> operatorDigest,
+        int shards,
+        RightsTerms terms,
+        Duration keysStale,
+        int mostInFlight,
+        boolean accessLog) {
+
+    private static final Duration DEFAULT_KEYS_STALE = Duration.ofSeconds(5);
+    private static final int MOST_PORT = 65_535;
+    private static final int MOST_SHARDS = 65_536;
+    private static final int DEFAULT_SHARDS = 64;
+    private static final int DEFAULT_IN_FLIGHT = 1_000;
+    private static final int MOST_IN_FLIGHT = 100_000;
+
+    /**
+     * The ports of a daemon.
+     *
+     * @param callers for callers
+     * @param data for calls that other daemons forward
+     * @param peer for control traffic between daemons
+     * @param admin for backend servers of this host, metrics and operators
+     */
+    public record Ports(int callers, int data, int peer, int admin) {}
+
+    /**
+     * An address to connect to.
+     *
+     * @param host IP address or name
+     * @param port the port
+     */
+    public record Endpoint(String host, int port) {
+
+        /**
+         * Reads an address.
+         *
+         * @param text such as {@code 10.0.0.1:8082}
+         * @return the address, or nothing if the text is not one
+         */
+        public static Optional<Endpoint> parse(String text) {
+            int colon = text.lastIndexOf(':');
+            if (colon <= 0 || !text.substring(colon + 1).matches("[0-9]{1,5}")) {
+                return Optional.empty();
+            }
+            int port = Integer.parseInt(text.substring(colon + 1));
+            return port > MOST_PORT ? Optional.empty() : Optional.of(new Endpoint(text.substring(0, colon), port));
+        }
+    }
+
+    /**
+     * Files for mutual TLS between daemons, in PEM.
+     *
+     * @param certificate the certificate chain of this host
+     * @param key its private key, PKCS 8
+     * @param authority the certificates that peers are checked against
+     */
+    public record Tls(Path certificate, Path key, Path authority) {}
+
+    /**
+     * Reads settings from a file.
+     *
+     * @param file the file
+     * @return the settings
+     * @throws FuchsiastandException with {@link ErrorCode#SETTINGS} that lists all faults
+     */
+    public static Settings read(Path file) {
+        String text;
+        try {
+            text = Files.readString(file);
+        } catch (IOException e) {
+            throw new FuchsiastandException(ErrorCode.SETTINGS, "cannot read the settings file " + file, e);
+        }
+        return parse(file.toString(), text);
+    }
+
+    /**
+     * Reads settings from a text.
+     *
+     * @param name the name of the file, for messages
+     * @param text the text
+     * @return the settings
+     * @throws FuchsiastandException with {@link ErrorCode#SETTINGS} that lists all faults
+     */
+    public static Settings parse(String name, String text) {
+        TomlFile f = new TomlFile(name, text);
+        Settings s = f.problems().isEmpty() ? read(f) : null;
+        if (!f.problems().isEmpty()) {
+            List<Problem> all = f.problems();
+            throw new FuchsiastandException(
+                    ErrorCode.SETTINGS, all.stream().map(Problem::toString).collect(Collectors.joining("\n")));
+        }
+        return s;
+    }
+
+    private static Settings read(TomlFile f) {
+        JsonNode root = f.root();
+        f.checkKeys(
+                "",
+                root,
+                new TreeSet<>(Set.of(
+                        "host",
+                        "data_centre",
+                        "address",
+                        "insecure",
+                        "seeds",
+                        "ports",
+                        "platform",
+                        "tls",
+                        "operator",
+                        "limits",
+                        "log")));
+        JsonNode limits = f.table("", root, "limits");
+        f.checkKeys(
+                "limits",
+                limits,
+                new TreeSet<>(Set.of(
+                        "shards",
+                        "half",
+                        "lending",
+                        "silence",
+                        "restart",
+                        "platform",
+                        "keys_stale",
+                        "most_in_flight")));
+        JsonNode log = f.table("", root, "log");
+        f.checkKeys("log", log, Set.of("access"));
+        return new Settings(
+                f.text("", root, "host", null),
+                f.text("", root, "data_centre", null),
+                f.text("", root, "address", null),
+                ports(f, f.table("", root, "ports")),
+                platform(f, f.table("", root, "platform")),
+                seeds(f, root.path("seeds")),
+                tls(f, root),
+                operator(f, f.table("", root, "operator")),
+                integer(f, "limits", limits, "shards", DEFAULT_SHARDS, 1, MOST_SHARDS),
+                terms(f, limits),
+                f.duration("limits", limits, "keys_stale", DEFAULT_KEYS_STALE),
+                integer(f, "limits", limits, "most_in_flight", DEFAULT_IN_FLIGHT, 1, MOST_IN_FLIGHT),
+                f.flag("log", log, "access", false));
+    }
+
+    private static Ports ports(TomlFile f, JsonNode t) {
+        f.checkKeys("ports", t, new TreeSet<>(Set.of("callers", "data", "peer", "admin")));
+        Ports p = new Ports(port(f, t, "callers"), port(f, t, "data"), port(f, t, "peer"), port(f, t, "admin"));
+        List<Integer> used = List.of(p.callers(), p.data(), p.peer(), p.admin()).stream()
+                .filter(n -> n != 0)
+                .toList();
+        if (used.stream().distinct().count() != used.size()) {
+            f.fault("ports", "two ports are the same");
+        }
+        return p;
+    }
+
+    private static int port(TomlFile f, JsonNode t, String key) {
+        return (int) f.number("ports", t, key, OptionalDouble.empty(), 0, MOST_PORT);
+    }
+
+    private static Endpoint platform(TomlFile f, JsonNode t) {
+        f.checkKeys("platform", t, new TreeSet<>(Set.of("host", "port")));
+        String host = f.text("platform", t, "host", null);
+        int port = (int) f.number("platform", t, "port", OptionalDouble.empty(), 1, MOST_PORT);
+        return new Endpoint(host == null ? "" : host, port);
+    }
+
+    private static List<Endpoint> seeds(TomlFile f, JsonNode list) {
+        List<Endpoint> out = new ArrayList<>();
+        for (JsonNode n : list) {
+            Optional<Endpoint> e = Endpoint.parse(n.asText());
+            if (e.isEmpty()) {
+                f.fault("seeds", "seed '" + n.asText() + "' must be an address and a port such as \"10.0.0.1:8082\"");
+            }
+            e.ifPresent(out::add);
+        }
+        return out;
+    }
+
+    private static Optional<Tls> tls(TomlFile f, JsonNode root) {
+        boolean insecure = f.flag("", root, "insecure", false);
+        boolean present = root.has("tls");
+        if (insecure == present) {
+            f.fault(
+                    present ? "tls" : "",
+                    "either give [tls] certificate, key and authority, or set insecure = true for plain traffic"
+                            + " between daemons");
+            return Optional.empty();
+        }
+        if (insecure) {
+            return Optional.empty();
+        }
+        JsonNode t = f.table("", root, "tls");
+        f.checkKeys("tls", t, new TreeSet<>(Set.of("certificate", "key", "authority")));
+        return Optional.of(new Tls(file(f, t, "certificate"), file(f, t, "key"), file(f, t, "authority")));
+    }
+
+    private static Path file(TomlFile f, JsonNode t, String key) {
+        String name = f.text("tls", t, key, null);
+        Path p = Path.of(name == null ? "" : name);
+        if (name != null && !Files.isReadable(p)) {
+            f.fault("tls." + key, "cannot read the file " + p);
+        }
+        return p;
+    }
+
+    private static Optional<String> operator(TomlFile f, JsonNode t) {
+        f.checkKeys("operator", t, Set.of("digest"));
+        return Optional.ofNullable(t.has("digest") ? f.text("operator", t, "digest", "") : null);
+    }
+
+    private static RightsTerms terms(TomlFile f, JsonNode t) {
+        RightsTerms d = RightsTerms.DEFAULT;
+        RightsTerms out = new RightsTerms(
+                f.duration("limits", t, "half", d.half()),
+                f.duration("limits", t, "lending", d.lending()),
+                f.duration("limits", t, "silence", d.silence()),
+                f.duration("limits", t, "restart", d.restart()),
+                f.duration("limits", t, "platform", d.platform()));
+        boolean ordered = out.lending().compareTo(out.silence()) < 0
+                && out.silence().compareTo(out.half()) < 0
+                && out.restart().compareTo(out.half()) < 0
+                && out.half().compareTo(out.platform()) < 0;
+        if (!ordered) {
+            f.fault("limits", "terms must rise: lending < silence < half < platform, and restart < half");
+        }
+        return out;
+    }
+
+    private static int integer(TomlFile f, String path, JsonNode t, String key, int fallback, int least, int most) {
+        return (int) f.number(path, t, key, OptionalDouble.of(fallback), least, most);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/Transport.java
@@ -0,0 +1,255 @@
+package io.fuchsiastand.daemon;
+
+import javax.net.ssl.SSLException;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+
+import io.fuchsiastand.error.ErrorCode;
+import io.fuchsiastand.error.FuchsiastandException;
+import io.grpc.BindableService;
+import io.grpc.ManagedChannel;
+import io.grpc.Server;
+import io.grpc.netty.GrpcSslContexts;
+import io.grpc.netty.NettyChannelBuilder;
+import io.grpc.netty.NettyServerBuilder;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.ssl.ClientAuth;
+import io.netty.handler.ssl.SslContext;
+import io.netty.handler.ssl.SslContextBuilder;
+import io.servicetalk.http.api.BlockingHttpService;
+import io.servicetalk.http.api.HttpExecutionStrategies;
+import io.servicetalk.http.api.HttpProtocolConfig;
+import io.servicetalk.http.api.HttpServerBuilder;
+import io.servicetalk.http.api.SingleAddressHttpClientBuilder;
+import io.servicetalk.http.api.StreamingHttpClient;
+import io.servicetalk.http.api.StreamingHttpService;
+import io.servicetalk.http.netty.HttpClients;
+import io.servicetalk.http.netty.HttpProtocolConfigs;
+import io.servicetalk.http.netty.HttpServers;
+import io.servicetalk.http.netty.RetryingHttpRequesterFilter;
+import io.servicetalk.transport.api.ClientSslConfigBuilder;
+import io.servicetalk.transport.api.IoExecutor;
+import io.servicetalk.transport.api.ServerContext;
+import io.servicetalk.transport.api.ServerSslConfigBuilder;
+import io.servicetalk.transport.api.SslClientAuthMode;
+import io.servicetalk.transport.netty.internal.NettyIoExecutors;
+
+/** Makes the servers and clients of a daemon, with few threads and, between daemons, mutual TLS. */
+public final class Transport implements AutoCloseable {
+
+    private static final int MOST_IO_THREADS = 4;
+    private static final int MOST_PEER_MESSAGE = 4_000_000;
+    private static final int MOST_START_LINE = 8_192;
+    private static final int MOST_HEADERS = 16_384;
+    private static final Duration PEER_IDLE = Duration.ofMinutes(5);
+    private static final Executor DIRECT = Runnable::run;
+
+    private final IoExecutor io;
+    private final EventLoopGroup peerLoop = new NioEventLoopGroup(1);
+    private final Optional<Settings.Tls> tls;
+
+    /**
+     * Creates the transport of a daemon.
+     *
+     * @param tls files for mutual TLS between daemons, or nothing for plain traffic
+     */
+    public Transport(Optional<Settings.Tls> tls) {
+        this.tls = tls;
+        int threads = Math.max(1, Math.min(MOST_IO_THREADS, Runtime.getRuntime().availableProcessors() / 2));
+        io = NettyIoExecutors.createIoExecutor(threads, "io");
+    }
+
+    /**
+     * Starts the server for callers.
+     *
+     * @param port the port, or 0 for any
+     * @param service handles requests
+     * @return the running server
+     */
+    public ServerContext callerServer(int port, StreamingHttpService service) {
+        return listen(server(port), port, service);
+    }
+
+    /**
+     * Starts the server for calls that other daemons forward.
+     *
+     * @param port the port, or 0 for any
+     * @param service handles requests
+     * @return the running server
+     */
+    public ServerContext dataServer(int port, StreamingHttpService service) {
+        HttpServerBuilder b = server(port);
+        tls.ifPresent(t -> b.sslConfig(new ServerSslConfigBuilder(() -> open(t.certificate()), () -> open(t.key()))
+                .trustManager(() -> open(t.authority()))
+                .clientAuthMode(SslClientAuthMode.REQUIRE)
+                .build()));
+        return listen(b, port, service);
+    }
+
+    /**
+     * Starts the admin server.
+     *
+     * @param port the port
+     * @param service handles requests on threads that may block
+     * @return the running server
+     */
+    public ServerContext adminServer(int port, BlockingHttpService service) {
+        try {
+            return HttpServers.forAddress(new InetSocketAddress(port))
+                    .ioExecutor(io)
+                    .listenBlockingAndAwait(service);
+        } catch (Exception e) {
+            throw portInUse(port, e);
+        }
+    }
+
+    /**
+     * Starts the server for control traffic between daemons.
+     *
+     * @param port the port, or 0 for any
+     * @param service answers calls
+     * @return the running server
+     */
+    public Server peerServer(int port, BindableService service) {
+        NettyServerBuilder b = NettyServerBuilder.forAddress(new InetSocketAddress(port))
+                .bossEventLoopGroup(peerLoop)
+                .workerEventLoopGroup(peerLoop)
+                .channelType(NioServerSocketChannel.class)
+                .maxInboundMessageSize(MOST_PEER_MESSAGE)
+                .executor(DIRECT)
+                .addService(service);
+        try {
+            if (tls.isPresent()) {
+                Settings.Tls t = tls.get();
+                SslContextBuilder ssl = SslContextBuilder.forServer(
+                        t.certificate().toFile(), t.key().toFile());
+                b.sslContext(GrpcSslContexts.configure(ssl)
+                        .trustManager(t.authority().toFile())
+                        .clientAuth(ClientAuth.REQUIRE)
+                        .build());
+            }
+            return b.build().start();
+        } catch (IOException e) {
+            throw portInUse(port, e);
+        }
+    }
+
+    /**
+     * Makes a channel to a peer.
+     *
+     * @param address the IP address of the peer
+     * @param port its peer port
+     * @return the channel, which connects on first use
+     */
+    public ManagedChannel peerChannel(String address, int port) {
+        NettyChannelBuilder b = NettyChannelBuilder.forAddress(new InetSocketAddress(address, port))
+                .eventLoopGroup(peerLoop)
+                .channelType(NioSocketChannel.class)
+                .executor(DIRECT)
+                .maxInboundMessageSize(MOST_PEER_MESSAGE)
+                .idleTimeout(PEER_IDLE.toMinutes(), TimeUnit.MINUTES);
+        if (tls.isEmpty()) {
+            return b.usePlaintext().build();
+        }
+        return b.sslContext(clientContext(tls.get())).build();
+    }
+
+    /**
+     * Makes a client for calls that are forwarded to another daemon.
+     *
+     * @param address the IP address of the daemon
+     * @param port its data port
+     * @return a client with pooled connections
+     */
+    public StreamingHttpClient dataClient(String address, int port) {
+        SingleAddressHttpClientBuilder<InetSocketAddress, InetSocketAddress> b = client(address, port);
+        tls.ifPresent(t -> b.sslConfig(new ClientSslConfigBuilder(() -> open(t.authority()))
+                .keyManager(() -> open(t.certificate()), () -> open(t.key()))
+                .build()));
+        return b.buildStreaming();
+    }
+
+    /**
+     * Makes a client for a backend server of this host.
+     *
+     * @param address the IP address of the backend server
+     * @param port its port
+     * @return a client with pooled connections
+     */
+    public StreamingHttpClient backendClient(String address, int port) {
+        return client(address, port).buildStreaming();
+    }
+
+    @Override
+    public void close() {
+        peerLoop.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        io.closeAsync().subscribe();
+    }
+
+    private SingleAddressHttpClientBuilder<InetSocketAddress, InetSocketAddress> client(String address, int port) {
+        return HttpClients.forResolvedAddress(new InetSocketAddress(address, port))
+                .ioExecutor(io)
+                .executionStrategy(HttpExecutionStrategies.offloadNone())
+                .protocols(http1())
+                .hostHeaderFallback(false)
+                // The daemon decides itself what may be sent again.
+                .appendClientFilter(RetryingHttpRequesterFilter.disableAutoRetries());
+    }
+
+    private HttpServerBuilder server(int port) {
+        return HttpServers.forAddress(new InetSocketAddress(port))
+                .ioExecutor(io)
+                .protocols(http1())
+                .executionStrategy(HttpExecutionStrategies.offloadNone());
+    }
+
+    private static HttpProtocolConfig http1() {
+        return HttpProtocolConfigs.h1()
+                .maxStartLineLength(MOST_START_LINE)
+                .maxHeaderFieldLength(MOST_HEADERS)
+                .build();
+    }
+
+    private static ServerContext listen(HttpServerBuilder b, int port, StreamingHttpService service) {
+        try {
+            return b.listenStreamingAndAwait(service);
+        } catch (Exception e) {
+            throw portInUse(port, e);
+        }
+    }
+
+    private static FuchsiastandException portInUse(int port, Exception e) {
+        return new FuchsiastandException(
+                ErrorCode.PORT_IN_USE, "cannot listen on port " + port + ": " + e.getMessage(), e);
+    }
+
+    private static SslContext clientContext(Settings.Tls t) {
+        try {
+            return GrpcSslContexts.forClient()
+                    .trustManager(t.authority().toFile())
+                    .keyManager(t.certificate().toFile(), t.key().toFile())
+                    .build();
+        } catch (SSLException e) {
+            throw new FuchsiastandException(ErrorCode.SETTINGS, "the TLS files cannot be used", e);
+        }
+    }
+
+    private static InputStream open(Path file) {
+        try {
+            return Files.newInputStream(file);
+        } catch (IOException e) {
+            throw new FuchsiastandException(ErrorCode.SETTINGS, "cannot read " + file, e);
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/io/fuchsiastand/standin/MemoryObjectStore.java
@@ -0,0 +1,213 @@
+package io.fuchsiastand.standin;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+
+import io.fuchsiastand.error.ErrorCode;
+import io.fuchsiastand.error.FuchsiastandException;
+import io.fuchsiastand.platform.ObjectStore;
+import io.fuchsiastand.platform.Snapshot;
+import io.fuchsiastand.platform.StoredObject;
+
+/** A store in memory that stands in for the platform, with faults that can be switched and calls that are counted. */
+public final class MemoryObjectStore implements ObjectStore {
+
+    private static final int MOST_TOMBSTONES = 10_000;
+
+    /** Kinds of calls. */
+    public enum Call {
+        /** Reads of one object. */
+        GET,
+        /** Reads of a prefix. */
+        LIST,
+        /** Writes. */
+        PUT,
+        /** Deletions. */
+        DELETE,
+        /** Watches; one that waits counts once. */
+        WATCH
+    }
+
+    /**
+     * Faults in force.
+     *
+     * @param down every call fails
+     * @param delayMillis each call takes this much longer
+     * @param loseAnswers writes take effect, but their answers are lost
+     * @param staleWatch watches answer without the latest changes
+     * @param cutWatch watches fail
+     */
+    public record Faults(boolean down, long delayMillis, boolean loseAnswers, boolean staleWatch, boolean cutWatch) {
+
+        /** No fault. */
+        public static final Faults NONE = new Faults(false, 0, false, false, false);
+    }
+
+    private final TreeMap<String, StoredObject> objects = new TreeMap<>();
+    private final TreeMap<Long, String> tombstones = new TreeMap<>();
+    private final Map<Call, Long> counts = new EnumMap<>(Call.class);
+    private long revision;
+    private long forgotten;
+    private volatile Faults faults = Faults.NONE;
+
+    /**
+     * Switches faults.
+     *
+     * @param next the faults from now on
+     */
+    public synchronized void setFaults(Faults next) {
+        faults = next;
+        notifyAll();
+    }
+
+    /**
+     * Returns the number of calls since the start.
+     *
+     * @return the number by kind
+     */
+    public synchronized Map<Call, Long> counts() {
+        return Map.copyOf(counts);
+    }
+
+    @Override
+    public Optional<StoredObject> get(String name) {
+        enter(Call.GET);
+        synchronized (this) {
+            return Optional.ofNullable(objects.get(name));
+        }
+    }
+
+    @Override
+    public Snapshot list(String prefix) {
+        enter(Call.LIST);
+        synchronized (this) {
+            return new Snapshot(revision, matching(prefix, 0), false);
+        }
+    }
+
+    @Override
+    public long put(String name, byte[] value, long expected, String changeId) {
+        enter(Call.PUT);
+        if (value.length > MOST_VALUE_BYTES) {
+            throw new FuchsiastandException(ErrorCode.PLATFORM_ERROR, name + " is larger than the platform takes");
+        }
+        synchronized (this) {
+            checkVersion(name, expected);
+            revision++;
+            objects.put(name, new StoredObject(name, revision, value.clone(), changeId));
+            notifyAll();
+        }
+        return answer(objects.get(name).version());
+    }
+
+    @Override
+    public void delete(String name, long expected) {
+        enter(Call.DELETE);
+        synchronized (this) {
+            checkVersion(name, expected);
+            if (objects.remove(name) != null) {
+                revision++;
+                tombstones.put(revision, name);
+                while (tombstones.size() > MOST_TOMBSTONES) {
+                    forgotten = tombstones.pollFirstEntry().getKey();
+                }
+                notifyAll();
+            }
+        }
+        answer(0);
+    }
+
+    @Override
+    public Snapshot watch(String prefix, long from, Duration wait) {
+        enter(Call.WATCH);
+        long deadline = System.nanoTime() + wait.toNanos();
+        synchronized (this) {
+            while (true) {
+                Faults f = faults;
+                if (f.down() || f.cutWatch()) {
+                    throw unavailable();
+                }
+                if (from < forgotten || from > revision) {
+                    return new Snapshot(revision, List.of(), true);
+                }
+                List<StoredObject> changed = f.staleWatch() ? List.of() : matching(prefix, from);
+                long left = deadline - System.nanoTime();
+                if (!changed.isEmpty() || left <= 0) {
+                    return new Snapshot(f.staleWatch() ? from : revision, changed, false);
+                }
+                await(left);
+            }
+        }
+    }
+
+    private void await(long nanos) {
+        try {
+            TimeUnit.NANOSECONDS.timedWait(this, Math.max(nanos, 1_000_000));
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw unavailable();
+        }
+    }
+
+    private List<StoredObject> matching(String prefix, long after) {
+        List<StoredObject> out = new ArrayList<>();
+        for (StoredObject o : objects.tailMap(prefix, true).values()) {
+            if (!o.name().startsWith(prefix)) {
+                break;
+            }
+            if (o.version() > after) {
+                out.add(o);
+            }
+        }
+        if (after > 0) {
+            tombstones.tailMap(after, false).forEach((v, n) -> {
+                if (n.startsWith(prefix) && !objects.containsKey(n)) {
+                    out.add(new StoredObject(n, v, null, ""));
+                }
+            });
+        }
+        return out;
+    }
+
+    private void checkVersion(String name, long expected) {
+        StoredObject old = objects.get(name);
+        long version = old == null ? StoredObject.ABSENT : old.version();
+        if (version != expected) {
+            throw new FuchsiastandException(ErrorCode.CONFLICT, name + " has version " + version);
+        }
+    }
+
+    private void enter(Call call) {
+        Faults f = faults;
+        synchronized (this) {
+            counts.merge(call, 1L, Long::sum);
+        }
+        if (f.delayMillis() > 0) {
+            try {
+                Thread.sleep(f.delayMillis());
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+        if (f.down()) {
+            throw unavailable();
+        }
+    }
+
+    private long answer(long value) {
+        if (faults.loseAnswers()) {
+            throw unavailable();
+        }
+        return value;
+    }
+
+    private static FuchsiastandException unavailable() {
+        return new FuchsiastandException(ErrorCode.PLATFORM_UNAVAILABLE, "the platform is away");
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/io/fuchsiastand/standin/PlatformServer.java
@@ -0,0 +1,126 @@
+package io.fuchsiastand.standin;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+
+import io.fuchsiastand.config.Json;
+import io.fuchsiastand.error.ErrorCode;
+import io.fuchsiastand.error.FuchsiastandException;
+import io.fuchsiastand.platform.HttpObjectStore;
+import io.fuchsiastand.platform.ObjectStore;
+import io.servicetalk.buffer.api.Buffer;
+import io.servicetalk.http.api.HttpRequest;
+import io.servicetalk.http.api.HttpRequestMethod;
+import io.servicetalk.http.api.HttpResponse;
+import io.servicetalk.http.api.HttpResponseFactory;
+import io.servicetalk.http.api.HttpServiceContext;
+import io.servicetalk.http.netty.HttpServers;
+import io.servicetalk.transport.api.ServerContext;
+
+/** Serves a {@link MemoryObjectStore} over HTTP, as the platform does. */
+public final class PlatformServer implements AutoCloseable {
+
+    private static final String FAULTS = "/v1/faults";
+    private static final String COUNTS = "/v1/counts";
+
+    private final MemoryObjectStore store;
+    private final ServerContext server;
+
+    /**
+     * Starts a server.
+     *
+     * @param host the address to listen on
+     * @param port the port, or 0 for any
+     * @param store the objects
+     * @throws Exception if the port cannot be had
+     */
+    public PlatformServer(String host, int port, MemoryObjectStore store) throws Exception {
+        this.store = store;
+        server = HttpServers.forAddress(new InetSocketAddress(host, port)).listenBlockingAndAwait(this::handle);
+    }
+
+    /**
+     * Returns the port.
+     *
+     * @return the port that the server listens on
+     */
+    public int port() {
+        return ((InetSocketAddress) server.listenAddress()).getPort();
+    }
+
+    /** Waits until the server is closed. */
+    public void await() {
+        server.awaitShutdown();
+    }
+
+    @Override
+    public void close() throws Exception {
+        server.close();
+    }
+
+    private HttpResponse handle(HttpServiceContext context, HttpRequest request, HttpResponseFactory factory) {
+        try {
+            Object body = dispatch(request);
+            return body == null ? factory.notFound() : json(context, factory.ok(), body);
+        } catch (FuchsiastandException e) {
+            if (e.code() == ErrorCode.CONFLICT) {
+                return factory.conflict();
+            }
+            return e.code() == ErrorCode.PLATFORM_UNAVAILABLE ? factory.serviceUnavailable() : factory.badRequest();
+        }
+    }
+
+    private Object dispatch(HttpRequest r) {
+        String path = r.path();
+        if (path.equals(HttpObjectStore.WATCH)) {
+            Duration wait = Duration.ofMillis(number(r, "wait"));
+            return store.watch(text(r, "prefix"), number(r, "from"), wait);
+        }
+        if (path.equals(HttpObjectStore.OBJECTS)) {
+            return store.list(text(r, "prefix"));
+        }
+        if (path.startsWith(HttpObjectStore.OBJECTS + '/')) {
+            return object(r, path.substring(HttpObjectStore.OBJECTS.length() + 1));
+        }
+        if (path.equals(FAULTS)) {
+            store.setFaults(Json.read(bytes(r), MemoryObjectStore.Faults.class));
+            return MemoryObjectStore.Faults.NONE;
+        }
+        return path.equals(COUNTS) ? store.counts() : null;
+    }
+
+    private Object object(HttpRequest r, String name) {
+        if (r.method().equals(HttpRequestMethod.PUT)) {
+            if (r.payloadBody().readableBytes() > ObjectStore.MOST_VALUE_BYTES) {
+                throw new FuchsiastandException(ErrorCode.PLATFORM_ERROR, "too large");
+            }
+            return new HttpObjectStore.Written(store.put(name, bytes(r), number(r, "version"), text(r, "change")));
+        }
+        if (r.method().equals(HttpRequestMethod.DELETE)) {
+            store.delete(name, number(r, "version"));
+            return new HttpObjectStore.Written(0);
+        }
+        return store.get(name).orElse(null);
+    }
+
+    private static HttpResponse json(HttpServiceContext context, HttpResponse response, Object body) {
+        return response.payloadBody(context.executionContext().bufferAllocator().wrap(Json.write(body)))
+                .setHeader("content-type", "application/json");
+    }
+
+    private static byte[] bytes(HttpRequest r) {
+        Buffer b = r.payloadBody();
+        byte[] out = new byte[b.readableBytes()];
+        b.readBytes(out);
+        return out;
+    }
+
+    private static String text(HttpRequest r, String name) {
+        String v = r.queryParameter(name);
+        return v == null ? "" : v;
+    }
+
+    private static long number(HttpRequest r, String name) {
+        return Long.parseLong(text(r, name));
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/io/fuchsiastand/standin/Standin.java
@@ -0,0 +1,76 @@
+package io.fuchsiastand.standin;
+
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+import org.kohsuke.args4j.Option;
+
+/** The program {@code standin}: runs a stand-in for the platform or for a backend server. */
+public final class Standin {
+
+    private static final int EXIT_USAGE = 2;
+
+    /** What to stand in for. */
+    enum Role {
+        /** The platform. */
+        PLATFORM,
+        /** A backend server. */
+        BACKEND
+    }
+
+    @Argument(metaVar = "ROLE", usage = "platform or backend", required = true)
+    private Role role;
+
+    @Option(name = "--port", usage = "the port to listen on")
+    private int port;
+
+    @Option(name = "--id", usage = "the name of the backend server")
+    private String id = "backend";
+
+    @Option(name = "--service", usage = "the service of the backend server")
+    private String service = "menu";
+
+    @Option(name = "--admin", usage = "the admin port of the daemon on this host")
+    private int admin;
+
+    @Option(name = "--slots", usage = "calls that the backend server takes at a time")
+    private int slots = 3;
+
+    @Option(name = "--delay-ms", usage = "time that a call takes")
+    private long delay;
+
+    private Standin() {}
+
+    /**
+     * Runs the program.
+     *
+     * @param args the command line
+     * @throws Exception if a port cannot be had
+     */
+    public static void main(String[] args) throws Exception {
+        Standin s = new Standin();
+        CmdLineParser parser = new CmdLineParser(s);
+        try {
+            parser.parseArgument(args);
+        } catch (CmdLineException e) {
+            System.err.println(e.getMessage());
+            parser.printUsage(System.err);
+            System.exit(EXIT_USAGE);
+        }
+        s.run();
+    }
+
+    private void run() throws Exception {
+        if (role == Role.PLATFORM) {
+            try (PlatformServer p = new PlatformServer("127.0.0.1", port, new MemoryObjectStore())) {
+                p.await();
+            }
+            return;
+        }
+        try (BackendServerStandin b = new BackendServerStandin(id, service, port)) {
+            b.setFaults(BackendFaults.slow(delay));
+            b.announce(admin, slots);
+            b.await();
+        }
+    }
+}
--- /dev/null
+++ b/tools/src/main/java/io/fuchsiastand/tools/ExplainCommand.java
@@ -0,0 +1,116 @@
+package io.fuchsiastand.tools;
+
+import java.io.PrintStream;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.fuchsiastand.config.Allowance;
+import io.fuchsiastand.config.Configuration;
+import io.fuchsiastand.error.ErrorCode;
+import io.fuchsiastand.key.Digests;
+import io.fuchsiastand.key.KeyEntry;
+import io.fuchsiastand.platform.ObjectStore;
+import io.fuchsiastand.routing.RequestPath;
+import io.fuchsiastand.routing.RouteMatch;
+import io.fuchsiastand.routing.RouteTable;
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.Option;
+
+/** Tells which team, route, limit and backend servers a request would get, and why. */
+final class ExplainCommand extends PlatformCommand {
+
+    @Argument(index = 0, metaVar = "METHOD", usage = "the method, such as GET", required = true)
+    private String method;
+
+    @Argument(index = 1, metaVar = "PATH", usage = "the path, such as /menu/today", required = true)
+    private String path;
+
+    @Option(name = "--host", usage = "the host of the request")
+    private String host = "";
+
+    @Option(name = "--key", usage = "the team key of the request")
+    private String key;
+
+    @Option(name = "--daemon", metaVar = "HOST:PORT", usage = "a daemon's admin port, to list backend servers")
+    private String daemon;
+
+    /**
+     * An explanation.
+     *
+     * @param steps what happens to the request, in order
+     * @param code the code of the refusal, or null if it is forwarded
+     */
+    record Result(List<String> steps, String code) {}
+
+    @Override
+    String summary() {
+        return "tell which team, route, limit and backend server a request would get";
+    }
+
+    @Override
+    void run(ObjectStore store, PrintStream out) {
+        List<String> steps = new ArrayList<>();
+        Configuration c = new ConfigurationStore(store).read().configuration();
+        steps.add("configuration version " + c.version());
+        ErrorCode refusal = explain(store, c, steps);
+        if (refusal != null) {
+            steps.add("refused with " + refusal.status() + " " + refusal.code() + ": " + refusal.title());
+        }
+        print(out, new Result(steps, refusal == null ? null : refusal.code()), String.join("\n", steps));
+    }
+
+    private ErrorCode explain(ObjectStore store, Configuration c, List<String> steps) {
+        Optional<RouteMatch> found = new RouteTable(c).find(host, RequestPath.parse(path));
+        if (found.isEmpty()) {
+            return ErrorCode.NO_ROUTE;
+        }
+        RouteMatch m = found.get();
+        boolean again = m.route().idempotency().isIdempotent(method);
+        steps.add("route " + m.route().host() + m.route().path() + " to service "
+                + m.service().name() + (again ? ", idempotent" : ", not idempotent: sent once"));
+        if (m.route().open()) {
+            steps.add("the route is open: no key and no limit");
+        } else {
+            Optional<KeyEntry> entry = key == null
+                    ? Optional.empty()
+                    : new KeyStore(store)
+                            .list().stream()
+                                    .filter(k -> k.digest().equals(Digests.ofText(key)))
+                                    .findFirst();
+            if (entry.isEmpty() || entry.get().withdrawn() != null) {
+                steps.add(
+                        entry.isEmpty()
+                                ? "no such key"
+                                : "the key was withdrawn " + entry.get().withdrawn());
+                return ErrorCode.UNKNOWN_KEY;
+            }
+            String team = entry.get().team();
+            steps.add("key " + entry.get().id() + " of team " + team);
+            Optional<Allowance> a = c.allowance(team, m.service().name());
+            if (a.isEmpty()) {
+                return ErrorCode.NOT_IN_PLAN;
+            }
+            steps.add("plan " + c.teams().get(team).plan() + " allows "
+                    + a.get().rate() + " a second, burst " + a.get().burst());
+        }
+        return backends(m.service().name(), steps);
+    }
+
+    private ErrorCode backends(String service, List<String> steps) {
+        if (daemon == null) {
+            return null;
+        }
+        int usable = 0;
+        for (JsonNode n : DaemonClient.status(daemon).path("backends")) {
+            if (n.path("service").asText().equals(service)) {
+                usable += n.path("weight").asDouble() > 0 ? 1 : 0;
+                steps.add("backend server " + n.path("id").asText() + " on "
+                        + n.path("host").asText() + ": " + n.path("state").asText() + ", weight "
+                        + n.path("weight").asDouble());
+            }
+        }
+        return usable == 0 ? ErrorCode.NO_BACKEND : null;
+    }
+}
--- /dev/null
+++ b/tools/src/main/java/io/fuchsiastand/tools/Fuchsiactl.java
@@ -0,0 +1,112 @@
+package io.fuchsiastand.tools;
+
+import java.io.PrintStream;
+import java.util.Arrays;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Supplier;
+
+import io.fuchsiastand.error.ErrorCode;
+import io.fuchsiastand.error.FuchsiastandException;
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+
+/** The program {@code fuchsiactl}: hands each subcommand to its class. */
+public final class Fuchsiactl {
+
+    /** Exit code of a command that did what it was asked to. */
+    public static final int EXIT_OK = 0;
+    /** Exit code of a command that failed. */
+    public static final int EXIT_FAILURE = 1;
+    /** Exit code of a wrong command line. */
+    public static final int EXIT_USAGE = 2;
+    /** Exit code if another operator was faster. */
+    public static final int EXIT_CONFLICT = 3;
+    /** Exit code if the platform or a daemon cannot be reached. */
+    public static final int EXIT_UNAVAILABLE = 4;
+
+    private static final Map<String, Supplier<Command>> COMMANDS = new TreeMap<>(Map.ofEntries(
+            Map.entry("validate", ValidateCommand::new),
+            Map.entry("apply", ApplyCommand::new),
+            Map.entry("diff", DiffCommand::new),
+            Map.entry("get", GetCommand::new),
+            Map.entry("key-give", KeyGiveCommand::new),
+            Map.entry("key-withdraw", KeyWithdrawCommand::new),
+            Map.entry("key-list", KeyListCommand::new),
+            Map.entry("status", StatusCommand::new),
+            Map.entry("explain", ExplainCommand::new),
+            Map.entry("version", VersionCommand::new)));
+
+    private Fuchsiactl() {}
+
+    /**
+     * Runs the program.
+     *
+     * @param args the subcommand and its options
+     */
+    public static void main(String[] args) {
+        System.exit(run(args, System.out, System.err));
+    }
+
+    /**
+     * Runs a subcommand.
+     *
+     * @param args the subcommand and its options
+     * @param out for results
+     * @param err for errors
+     * @return the exit code
+     */
+    public static int run(String[] args, PrintStream out, PrintStream err) {
+        String name = args.length == 0 ? "--help" : args[0];
+        // "key give" reads better than "key-give"; both are taken.
+        boolean isPair = name.equals("key") && args.length > 1;
+        if (isPair) {
+            name = "key-" + args[1];
+        }
+        Supplier<Command> maker = COMMANDS.get(name);
+        if (maker == null) {
+            boolean help = name.equals("--help");
+            usage(help ? out : err, help ? "" : ErrorCode.USAGE.code() + " no such command: " + name);
+            return help ? EXIT_OK : EXIT_USAGE;
+        }
+        Command command = maker.get();
+        CmdLineParser parser = new CmdLineParser(command);
+        try {
+            parser.parseArgument(Arrays.copyOfRange(args, isPair ? 2 : 1, args.length));
+        } catch (CmdLineException e) {
+            err.println(ErrorCode.USAGE.code() + " " + e.getMessage());
+            parser.printUsage(err);
+            return EXIT_USAGE;
+        }
+        if (command.isHelp()) {
+            out.println("fuchsiactl " + name + ": " + command.summary());
+            parser.printUsage(out);
+            return EXIT_OK;
+        }
+        return execute(command, out, err);
+    }
+
+    private static int execute(Command command, PrintStream out, PrintStream err) {
+        try {
+            command.run(out);
+            return EXIT_OK;
+        } catch (FuchsiastandException e) {
+            err.println(e.code().code() + " " + e.code().title() + ":\n" + e.getMessage());
+            return switch (e.code()) {
+                case CONFLICT -> EXIT_CONFLICT;
+                case PLATFORM_UNAVAILABLE -> EXIT_UNAVAILABLE;
+                case USAGE -> EXIT_USAGE;
+                default -> EXIT_FAILURE;
+            };
+        }
+    }
+
+    private static void usage(PrintStream to, String message) {
+        if (!message.isEmpty()) {
+            to.println(message);
+        }
+        to.println("fuchsiactl COMMAND [OPTIONS]; COMMAND --help tells its options");
+        COMMANDS.forEach(
+                (n, c) -> to.printf("  %-13s %s%n", n.replace('-', ' '), c.get().summary()));
+    }
+}
--- /dev/null
+++ b/tools/src/main/java/io/fuchsiastand/tools/GetCommand.java
@@ -0,0 +1,21 @@
+package io.fuchsiastand.tools;
+
+import java.io.PrintStream;
+
+import io.fuchsiastand.config.Json;
+import io.fuchsiastand.platform.ObjectStore;
+
+/** Prints the configuration in force. */
+final class GetCommand extends PlatformCommand {
+
+    @Override
+    String summary() {
+        return "print the configuration in force";
+    }
+
+    @Override
+    void run(ObjectStore store, PrintStream out) {
+        ConfigurationStore.Current current = new ConfigurationStore(store).read();
+        print(out, current.configuration(), Json.pretty(current.configuration()));
+    }
+}
