--- /dev/null
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/Fleet.java
@@ -0,0 +1,193 @@
+package io.fuchsiastand.daemon;
+
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.UUID;
+import java.util.function.BooleanSupplier;
+
+import io.fuchsiastand.config.Configuration;
+import io.fuchsiastand.config.ConfigurationCodec;
+import io.fuchsiastand.config.ConfigurationIndex;
+import io.fuchsiastand.config.ConfigurationReader;
+import io.fuchsiastand.config.Json;
+import io.fuchsiastand.config.TomlFile;
+import io.fuchsiastand.key.Digests;
+import io.fuchsiastand.key.KeyBucket;
+import io.fuchsiastand.key.KeyEntry;
+import io.fuchsiastand.platform.StoredObject;
+import io.fuchsiastand.standin.BackendServerStandin;
+import io.fuchsiastand.standin.MemoryObjectStore;
+import io.fuchsiastand.standin.PlatformServer;
+
+/** A fleet on the loopback address for tests: the platform stand-in, daemons and backend servers. */
+final class Fleet implements AutoCloseable {
+
+    static final String KEY = "fsk_test_key_of_zermatt";
+
+    private static final String TEAMS = "[teams.zermatt]\nplan = \"gold\"\n[teams.locarno]\nplan = \"silver\"\n";
+    private static final String PLANS =
+            """
+            [services.menu]
+            timeout = "5s"
+            [[services.menu.routes]]
+            path = "/menu"
+            [[services.menu.routes]]
+            path = "/open"
+            open = true
+            [services.till]
+            timeout = "2s"
+            [[services.till.routes]]
+            path = "/till"
+            [plans.gold.menu]
+            rate = 10000
+            burst = 1000
+            [plans.gold.till]
+            rate = 10000
+            burst = 1000
+            [plans.silver.menu]
+            rate = 1
+            burst = 2
+            """;
+    private static final long PATIENCE_MILLIS = 40_000;
+
+    final MemoryObjectStore objects = new MemoryObjectStore();
+    final List<Daemon> daemons = new ArrayList<>();
+    final List<Settings> settings = new ArrayList<>();
+    final List<BackendServerStandin> backends = new ArrayList<>();
+    final HttpClient client =
+            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    private final PlatformServer platform;
+
+    Fleet(int size) throws Exception {
+        platform = new PlatformServer("127.0.0.1", 0, objects);
+        publish(TEAMS, PLANS);
+        give("zermatt", KEY);
+        for (int i = 0; i < size; i++) {
+            settings.add(Settings.parse("h" + i + ".toml", toml(i)));
+            daemons.add(new Daemon(settings.get(i)));
+        }
+        await("daemons are ready", () -> daemons.stream()
+                .allMatch(d -> d.status().lifecycle() == Lifecycle.READY
+                        && d.status().members().size() == size));
+    }
+
+    private String toml(int i) throws Exception {
+        return """
+                host = "h%d"
+                data_centre = "dc%d"
+                address = "127.0.0.1"
+                insecure = true
+                [ports]
+                callers = %d
+                data = %d
+                peer = %d
+                admin = %d
+                [platform]
+                host = "127.0.0.1"
+                port = %d
+                [limits]
+                shards = 8
+                """
+                .formatted(i, i % 2, freePort(), freePort(), freePort(), freePort(), platform.port());
+    }
+
+    BackendServerStandin backend(int daemon, String id, String service) throws Exception {
+        BackendServerStandin b = new BackendServerStandin(id, service, 0);
+        backends.add(b);
+        b.announce(settings.get(daemon).ports().admin(), 3);
+        await(id + " is known everywhere", () -> daemons.stream()
+                .allMatch(d -> d.status().backends().stream().anyMatch(s -> s.id().equals(id) && s.weight() > 0)));
+        return b;
+    }
+
+    void publish(String teams, String plans) {
+        Configuration c = ConfigurationReader.read(new TomlFile("teams", teams), new TomlFile("plans", plans))
+                .configuration();
+        Map<String, byte[]> chunks = ConfigurationCodec.split(c);
+        chunks.forEach((d, bytes) -> {
+            if (objects.get(ConfigurationCodec.chunkName(d)).isEmpty()) {
+                objects.put(ConfigurationCodec.chunkName(d), bytes, StoredObject.ABSENT, id());
+            }
+        });
+        StoredObject old = objects.get(ConfigurationCodec.INDEX_NAME).orElse(null);
+        long version = old == null
+                ? 0
+                : Json.read(old.value(), ConfigurationIndex.class).version();
+        ConfigurationIndex index = new ConfigurationIndex(version + 1, List.copyOf(chunks.keySet()), List.of());
+        objects.put(
+                ConfigurationCodec.INDEX_NAME,
+                Json.write(index),
+                old == null ? StoredObject.ABSENT : old.version(),
+                id());
+    }
+
+    void publishAgain() {
+        publish(TEAMS, PLANS.replace("burst = 2", "burst = 3"));
+    }
+
+    void give(String team, String key) {
+        changeKey(new KeyEntry(Digests.ofText(key), team, Instant.EPOCH, null));
+    }
+
+    void withdraw(String team, String key) {
+        changeKey(new KeyEntry(Digests.ofText(key), team, Instant.EPOCH, Instant.now()));
+    }
+
+    HttpResponse<String> get(int daemon, String path, String key) throws Exception {
+        return send(request(daemon, path, key).GET().build());
+    }
+
+    HttpRequest.Builder request(int daemon, String path, String key) {
+        HttpRequest.Builder b = HttpRequest.newBuilder(
+                URI.create("http://127.0.0.1:" + settings.get(daemon).ports().callers() + path));
+        return key == null ? b : b.header("Authorization", "Bearer " + key);
+    }
+
+    HttpResponse<String> send(HttpRequest request) throws Exception {
+        return client.send(request, HttpResponse.BodyHandlers.ofString());
+    }
+
+    // Waits for an event that must come; how long it takes is for the bench to judge.
+    static void await(String what, BooleanSupplier done) throws Exception {
+        for (long i = 0; i < PATIENCE_MILLIS / 20; i++) {
+            if (done.getAsBoolean()) {
+                return;
+            }
+            Thread.sleep(20);
+        }
+        throw new AssertionError("waited in vain until " + what);
+    }
+
+    @Override
+    public void close() throws Exception {
+        for (BackendServerStandin b : backends) {
+            b.close();
+        }
+        daemons.forEach(Daemon::close);
+        platform.close();
+    }
+
+    private void changeKey(KeyEntry entry) {
+        String name = KeyBucket.nameFor(entry.digest());
+        StoredObject old = objects.get(name).orElse(null);
+        KeyBucket bucket = old == null ? KeyBucket.EMPTY : Json.read(old.value(), KeyBucket.class);
+        objects.put(name, Json.write(bucket.with(entry)), old == null ? StoredObject.ABSENT : old.version(), id());
+    }
+
+    private static String id() {
+        return UUID.randomUUID().toString();
+    }
+
+    static int freePort() throws Exception {
+        try (ServerSocket s = new ServerSocket(0)) {
+            return s.getLocalPort();
+        }
+    }
+}
