--- /dev/null
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/RawBackend.java
@@ -0,0 +1,92 @@
+package io.fuchsiastand.daemon;
+
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+/** A backend server that reads one request a connection, keeps its bytes, and answers with the bytes it was given. */
+final class RawBackend implements AutoCloseable {
+
+    private final ServerSocket server = new ServerSocket(0);
+    final List<String> requests = new CopyOnWriteArrayList<>();
+    volatile String answer = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+    volatile boolean closes = true;
+
+    RawBackend() throws IOException {
+        Thread t = new Thread(this::serve, "raw-backend");
+        t.setDaemon(true);
+        t.start();
+    }
+
+    int port() {
+        return server.getLocalPort();
+    }
+
+    @Override
+    public void close() throws IOException {
+        server.close();
+    }
+
+    private void serve() {
+        while (!server.isClosed()) {
+            try {
+                Socket s = server.accept();
+                Thread t = new Thread(() -> answer(s), "raw-connection");
+                t.setDaemon(true);
+                t.start();
+            } catch (IOException e) {
+                return;
+            }
+        }
+    }
+
+    private void answer(Socket socket) {
+        try (socket) {
+            InputStream in = new BufferedInputStream(socket.getInputStream());
+            OutputStream out = socket.getOutputStream();
+            do {
+                String request = read(in);
+                if (request.isEmpty()) {
+                    return;
+                }
+                requests.add(request);
+                out.write(answer.getBytes(StandardCharsets.ISO_8859_1));
+                out.flush();
+            } while (!closes);
+        } catch (IOException e) {
+            requests.add("broken: " + e.getMessage());
+        }
+    }
+
+    // Reads a head and, by its framing, a body.
+    private static String read(InputStream in) throws IOException {
+        StringBuilder b = new StringBuilder();
+        while (b.indexOf("\r\n\r\n") < 0) {
+            int c = in.read();
+            if (c < 0) {
+                return "";
+            }
+            b.append((char) c);
+        }
+        String head = b.toString().toLowerCase(Locale.ROOT);
+        if (head.contains("transfer-encoding: chunked")) {
+            while (b.indexOf("\r\n0\r\n") < 0 || !b.toString().endsWith("\r\n\r\n")) {
+                b.append((char) in.read());
+            }
+        } else if (head.contains("content-length: ")) {
+            int start = head.indexOf("content-length: ") + 16;
+            int length = Integer.parseInt(head.substring(start, head.indexOf("\r\n", start)));
+            for (int i = 0; i < length; i++) {
+                b.append((char) in.read());
+            }
+        }
+        return b.toString();
+    }
+}
