Measure slopes of structures, gossip and control calls

Cause: the size that the fleet is designed for needs figures that are worked out from measurements. Change: bench capacity fits slopes at several sizes, spreads a record through 10 to 940 gossip cores on the virtual clock, and holds the sums against the budgets. The choice whom to probe and what to send moved from the daemon to core, so that the bench drives the same code.

--- a/bench/src/main/java/io/fuchsiastand/bench/Bench.java
+++ b/bench/src/main/java/io/fuchsiastand/bench/Bench.java
@@ -1,15 +1,71 @@
 package io.fuchsiastand.bench;
 
-/** The program {@code bench}. */
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+
+import io.fuchsiastand.bench.capacity.CapacityBench;
+import io.fuchsiastand.bench.capacity.CapacityReport;
+import io.fuchsiastand.config.Json;
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+import org.kohsuke.args4j.Option;
+
+/** The program {@code bench}: measures and exits with an error if a figure breaks its bound. */
 public final class Bench {
+
+    private static final int EXIT_BROKEN = 1;
+    private static final int EXIT_USAGE = 2;
+
+    /** What to measure. */
+    enum Subject {
+        /** Slopes of structures and steps. */
+        CAPACITY
+    }
+
+    @Argument(metaVar = "SUBJECT", usage = "what to measure", required = true)
+    private Subject subject;
+
+    @Option(name = "--out", metaVar = "FILE", usage = "where to save the figures as JSON")
+    private Path out;
+
     private Bench() {}
 
     /**
      * Runs the program.
      *
      * @param args the command line
+     * @throws Exception if a measurement fails
      */
-    public static void main(String[] args) {
-        System.exit(2);
+    public static void main(String[] args) throws Exception {
+        Bench b = new Bench();
+        CmdLineParser parser = new CmdLineParser(b);
+        try {
+            parser.parseArgument(args);
+        } catch (CmdLineException e) {
+            System.err.println(e.getMessage());
+            parser.printUsage(System.err);
+            System.exit(EXIT_USAGE);
+        }
+        List<Check> checks = b.run();
+        System.exit(checks.stream().allMatch(Check::good) ? 0 : EXIT_BROKEN);
+    }
+
+    private List<Check> run() throws Exception {
+        return switch (subject) {
+            case CAPACITY -> {
+                CapacityReport r = CapacityBench.run();
+                save(r);
+                yield r.checks();
+            }
+        };
+    }
+
+    private void save(Object report) throws IOException {
+        if (out != null) {
+            Files.writeString(out, Json.pretty(report) + '\n');
+        }
     }
 }
--- /dev/null
+++ b/bench/src/main/java/io/fuchsiastand/bench/capacity/Dissemination.java
@@ -0,0 +1,127 @@
+package io.fuchsiastand.bench.capacity;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+
+import io.fuchsiastand.membership.Gossip;
+import io.fuchsiastand.membership.Member;
+import io.fuchsiastand.membership.Membership;
+import io.fuchsiastand.protocol.MemberUpdate;
+import io.fuchsiastand.protocol.ProbeReply;
+import io.fuchsiastand.protocol.ProbeRequest;
+import io.fuchsiastand.replication.RecordStore;
+import io.fuchsiastand.time.ManualClock;
+
+/**
+ * Spreads one record through a fleet by the gossip of its daemons, on the virtual clock: each tick, each daemon does
+ * what its {@link Gossip} says, and messages are lost at random in either direction.
+ */
+public final class Dissemination {
+
+    private static final int MOST_TICKS = 500;
+    private static final int QUIET_TICKS = 50;
+    private static final int RECORD_BYTES = 1_600;
+
+    private final ManualClock clock = new ManualClock();
+    private final List<Gossip> daemons = new ArrayList<>();
+    private final List<RecordStore> stores = new ArrayList<>();
+    private final List<Membership> memberships = new ArrayList<>();
+    private final Map<String, Integer> index = new HashMap<>();
+    private final SplittableRandom random;
+    private final double loss;
+    private long bytes;
+    private long messages;
+
+    /**
+     * The outcome.
+     *
+     * @param seconds time until the last daemon had the record
+     * @param bytesPerDaemon bytes that a daemon sent meanwhile, on average
+     * @param quietBytesPerSecond bytes that a daemon sends in a second without news
+     * @param quietMessagesPerSecond messages that a daemon sends in a second without news, answers included
+     */
+    public record Outcome(
+            double seconds, double bytesPerDaemon, double quietBytesPerSecond, double quietMessagesPerSecond) {}
+
+    private Dissemination(int size, double loss, long seed) {
+        random = new SplittableRandom(seed);
+        this.loss = loss;
+        List<MemberUpdate> updates = Samples.updates(size);
+        for (int i = 0; i < size; i++) {
+            Membership m = new Membership(Samples.member(i), clock, new SplittableRandom(seed + i));
+            m.apply(updates);
+            while (m.hasUpdates()) {
+                m.takeUpdates();
+            }
+            RecordStore s = new RecordStore();
+            memberships.add(m);
+            stores.add(s);
+            daemons.add(new Gossip(m, s, clock));
+            index.put(Samples.member(i).host(), i);
+        }
+    }
+
+    /**
+     * Spreads a record from one daemon.
+     *
+     * @param size the number of daemons
+     * @param loss share of messages lost
+     * @param seed the seed
+     * @return the outcome
+     */
+    public static Outcome run(int size, double loss, long seed) {
+        return new Dissemination(size, loss, seed).run();
+    }
+
+    private Outcome run() {
+        for (int i = 0; i < QUIET_TICKS; i++) {
+            tick();
+        }
+        double quietSeconds = QUIET_TICKS * Gossip.TICK.toNanos() / 1e9;
+        double quietBytes = bytes / quietSeconds / daemons.size();
+        double quietMessages = messages / quietSeconds / daemons.size();
+        bytes = 0;
+        stores.get(0).put(RecordStore.record("config/index", 2, new byte[RECORD_BYTES]), daemons.size());
+        int ticks = 0;
+        while (ticks < MOST_TICKS && !isEverywhere()) {
+            tick();
+            ticks++;
+        }
+        double seconds = isEverywhere() ? ticks * Gossip.TICK.toNanos() / 1e9 : Double.POSITIVE_INFINITY;
+        return new Outcome(seconds, bytes / (double) daemons.size(), quietBytes, quietMessages);
+    }
+
+    private boolean isEverywhere() {
+        return stores.stream().allMatch(s -> s.get("config/index").isPresent());
+    }
+
+    private void tick() {
+        clock.advance(Gossip.TICK);
+        for (Gossip g : daemons) {
+            g.due().ifPresent(m -> probe(g, m));
+        }
+    }
+
+    private void probe(Gossip from, Member to) {
+        ProbeRequest request = from.request(to, to.host());
+        count(request.getSerializedSize());
+        if (random.nextDouble() < loss) {
+            return;
+        }
+        Gossip target = daemons.get(index.get(to.host()));
+        boolean known = target.receive(request);
+        ProbeReply reply = target.reply(true, known);
+        count(reply.getSerializedSize());
+        if (random.nextDouble() >= loss) {
+            from.receive(reply.getUpdatesList(), reply.getRecordsList());
+        }
+    }
+
+    private void count(int size) {
+        bytes += size;
+        messages++;
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/io/fuchsiastand/bench/capacity/StructureSlopes.java
@@ -0,0 +1,240 @@
+package io.fuchsiastand.bench.capacity;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.function.IntFunction;
+import java.util.function.IntToDoubleFunction;
+import java.util.stream.Collectors;
+
+import io.fuchsiastand.config.Allowance;
+import io.fuchsiastand.config.Configuration;
+import io.fuchsiastand.config.ConfigurationCodec;
+import io.fuchsiastand.config.Json;
+import io.fuchsiastand.idempotency.KeyLog;
+import io.fuchsiastand.key.KeyTable;
+import io.fuchsiastand.limit.RightsTerms;
+import io.fuchsiastand.limit.ShardEntry;
+import io.fuchsiastand.limit.ShardLedger;
+import io.fuchsiastand.limit.ShardRights;
+import io.fuchsiastand.limit.Share;
+import io.fuchsiastand.limit.TeamService;
+import io.fuchsiastand.membership.Membership;
+import io.fuchsiastand.protocol.MemberUpdate;
+import io.fuchsiastand.replication.RecordStore;
+import io.fuchsiastand.routing.RequestPath;
+import io.fuchsiastand.routing.RouteTable;
+import io.fuchsiastand.routing.ServiceDirectory;
+
+/** Measures the structures of a daemon at several sizes and fits what one unit costs. */
+final class StructureSlopes {
+
+    private static final int[] ROUTES = {1_000, 4_000, 13_000};
+    private static final int[] TEAMS = {1_000, 6_000, 19_000};
+    private static final int[] KEYS = {2_000, 12_000, 38_000};
+    private static final int[] MEMBERS = {10, 100, 940};
+    private static final int[] SHARDS = {8, 64, 512};
+    private static final int BACKENDS_PER_HOST = 10;
+    private static final int OPERATIONS = 200_000;
+    private static final Share WHOLE = new Share(true, true, 0, 0);
+
+    private final List<Row> rows = new ArrayList<>();
+
+    List<Row> measure() {
+        configuration();
+        keys();
+        members();
+        directory();
+        records();
+        limits();
+        return rows;
+    }
+
+    private void configuration() {
+        heap("routes and route table", "route", ROUTES, Target.ROUTES, n -> {
+            Configuration c = Samples.configuration(n, 0, Target.SERVICES);
+            return List.of(c, new RouteTable(c));
+        });
+        time("route lookup", "route", ROUTES, Target.ROUTES, n -> {
+            RouteTable t = new RouteTable(Samples.configuration(n, 0, Target.SERVICES));
+            RequestPath[] paths = new RequestPath[1024];
+            for (int i = 0; i < paths.length; i++) {
+                paths[i] = RequestPath.parse("/service-" + i % Target.SERVICES + "/part-" + i % 4 + "/item");
+            }
+            return Meter.nanos(OPERATIONS, i -> t.find("any", paths[i & 1023]));
+        });
+        heap("teams", "team", TEAMS, Target.TEAMS, n -> Samples.configuration(250, n, Target.SERVICES));
+        time("making a configuration active", "team", TEAMS, Target.TEAMS, n -> {
+            Configuration c = Samples.configuration(n * Target.ROUTES / Target.TEAMS, n, Target.SERVICES);
+            Map<String, byte[]> chunks = ConfigurationCodec.split(c);
+            return Meter.nanos(3, i -> new RouteTable(ConfigurationCodec.join(1, chunks.values())));
+        });
+        size("stored configuration", "team", TEAMS, Target.TEAMS, n -> {
+            Configuration c = Samples.configuration(n * Target.ROUTES / Target.TEAMS, n, Target.SERVICES);
+            return ConfigurationCodec.split(c).values().stream()
+                    .mapToLong(b -> b.length)
+                    .sum();
+        });
+    }
+
+    private void keys() {
+        heap("key table", "key", KEYS, Target.KEYS, Samples::keyTable);
+        time("key lookup", "key", KEYS, Target.KEYS, n -> {
+            KeyTable t = Samples.keyTable(n);
+            String[] digests = new String[1024];
+            Arrays.setAll(digests, Samples::digest);
+            return Meter.nanos(OPERATIONS, i -> t.team(digests[i & 1023]));
+        });
+        size("stored keys", "key", KEYS, Target.KEYS, n -> Samples.keys(n).values().stream()
+                .mapToLong(b -> Json.write(b).length)
+                .sum());
+    }
+
+    private void members() {
+        heap("membership", "member", MEMBERS, Target.DAEMONS, n -> Samples.membership(0, n));
+        time("taking in a member list", "member", MEMBERS, Target.DAEMONS, n -> {
+            Membership[] fresh = new Membership[7 * 3];
+            Arrays.setAll(fresh, i -> Samples.membership(0, 1));
+            List<MemberUpdate> updates = Samples.updates(n);
+            int[] next = {0};
+            return Meter.nanos(3, i -> {
+                Membership m = fresh[next[0]++];
+                m.apply(updates);
+                m.neighbours();
+            });
+        });
+    }
+
+    private void directory() {
+        int[] servers = Arrays.stream(MEMBERS).map(m -> m * BACKENDS_PER_HOST).toArray();
+        heap(
+                "directory",
+                "backend server",
+                servers,
+                Target.BACKEND_SERVERS,
+                n -> Samples.directory(n / BACKENDS_PER_HOST, BACKENDS_PER_HOST));
+        time("choice of a backend server", "backend server", servers, Target.BACKEND_SERVERS, n -> {
+            ServiceDirectory d = Samples.directory(n / BACKENDS_PER_HOST, BACKENDS_PER_HOST);
+            SplittableRandom r = new SplittableRandom(1);
+            return Meter.nanos(OPERATIONS, i -> d.pick("service-" + i % 100, Set.of(), r));
+        });
+        time("change of a host record", "backend server", servers, Target.BACKEND_SERVERS, n -> {
+            ServiceDirectory d = Samples.directory(n / BACKENDS_PER_HOST, BACKENDS_PER_HOST);
+            return Meter.nanos(2_000, i -> d.update(Samples.host(i % (n / BACKENDS_PER_HOST), BACKENDS_PER_HOST)));
+        });
+    }
+
+    private void records() {
+        int full = Target.DAEMONS + Target.SHARDS + 66;
+        int[] sizes = {100, 1_000, full};
+        heap("records", "record", sizes, full, StructureSlopes::store);
+        size("comparison of equal records, bytes on the wire", "record", sizes, full, n -> {
+            RecordStore a = store(n);
+            return a.startSync("host-0").getSerializedSize()
+                    + a.answerSync(a.startSync("host-0")).getSerializedSize();
+        });
+        size("comparison with one difference, bytes on the wire", "record", sizes, full, n -> {
+            RecordStore a = store(n);
+            RecordStore b = store(n);
+            b.put(RecordStore.record("host/host-1", 99, new byte[400]), n);
+            var first = a.startSync("host-0");
+            var reply = b.answerSync(first);
+            var second = a.continueSync("host-0", reply).orElseThrow();
+            return first.getSerializedSize()
+                    + reply.getSerializedSize()
+                    + second.getSerializedSize()
+                    + b.answerSync(second).getSerializedSize();
+        });
+    }
+
+    private static RecordStore store(int n) {
+        RecordStore s = new RecordStore();
+        for (int i = 0; i < n; i++) {
+            byte[] value = i < Target.DAEMONS
+                    ? Json.write(Samples.host(i, BACKENDS_PER_HOST))
+                    : Json.write(new ShardEntry(i, 3, "host-1", "host-2", false, List.of(), List.of()));
+            s.put(RecordStore.record((i < Target.DAEMONS ? "host/host-" : "shards/") + i, 3, value), n);
+        }
+        while (s.hasRumours()) {
+            s.takeRumours();
+        }
+        return s;
+    }
+
+    private void limits() {
+        int perDaemon = 2 * Target.SHARDS / Target.DAEMONS;
+        heap("rights", "shard held", SHARDS, perDaemon, n -> {
+            Map<Integer, ShardRights> out = new HashMap<>();
+            for (int i = 0; i < n; i++) {
+                out.put(i, pair(i));
+            }
+            return out;
+        });
+        time("renewal of rights", "shard held", SHARDS, perDaemon, n -> {
+            List<ShardRights> all = new ArrayList<>();
+            for (int i = 0; i < n; i++) {
+                all.add(pair(i));
+            }
+            long[] now = {0};
+            return n * Meter.nanos(OPERATIONS / 10, i -> all.get(i % n).renew(now[0]++));
+        });
+        int teamsPerDaemon = Target.TEAMS / Target.DAEMONS * 4;
+        int[] teams = {100, 1_000, 8_000};
+        heap("buckets", "active team and service", teams, teamsPerDaemon, n -> ledger(n));
+        time("decision from buckets", "active team and service", teams, teamsPerDaemon, n -> {
+            ShardLedger l = ledger(n);
+            TeamService[] keys = new TeamService[n];
+            Arrays.setAll(keys, i -> new TeamService("team-" + i, "service-1"));
+            Allowance a = new Allowance(50, 20);
+            return Meter.nanos(OPERATIONS, i -> l.acquire(keys[i % n], a, 0, WHOLE, i * 1000L));
+        });
+        heap("idempotency keys", "key in the window", new int[] {1_000, 5_000, 20_000}, 4_000, n -> {
+            KeyLog log = new KeyLog(0);
+            for (int i = 0; i < n; i++) {
+                log.begin(Samples.digest(i), "team-" + i / 1000, i, 1);
+            }
+            return log;
+        });
+    }
+
+    private static ShardRights pair(int i) {
+        ShardRights r = new ShardRights("host-1", 1, i, RightsTerms.DEFAULT);
+        r.learn(new ShardEntry(i, 1, "host-1", "host-2", false, List.of(), List.of()), 0);
+        return r;
+    }
+
+    private static ShardLedger ledger(int n) {
+        ShardLedger l = new ShardLedger();
+        for (int i = 0; i < n; i++) {
+            l.acquire(new TeamService("team-" + i, "service-1"), new Allowance(50, 20), 0, WHOLE, 1_000_000_000L);
+        }
+        return l;
+    }
+
+    private void heap(String what, String unit, int[] sizes, double full, IntFunction<Object> maker) {
+        add(what, unit, "heap, bytes", sizes, full, n -> Meter.heapBytes(() -> maker.apply(n)));
+    }
+
+    private void time(String what, String unit, int[] sizes, double full, IntToDoubleFunction nanos) {
+        add(what, unit, "time, ns", sizes, full, nanos);
+    }
+
+    private void size(String what, String unit, int[] sizes, double full, IntToDoubleFunction bytes) {
+        add(what, unit, "size, bytes", sizes, full, bytes);
+    }
+
+    private void add(String what, String unit, String measure, int[] sizes, double full, IntToDoubleFunction value) {
+        List<Slope.Point> points = new ArrayList<>();
+        for (int n : sizes) {
+            points.add(new Slope.Point(n, value.applyAsDouble(n)));
+        }
+        Slope s = Slope.fit(points);
+        String at = Arrays.stream(sizes).mapToObj(Integer::toString).collect(Collectors.joining(", "));
+        rows.add(new Row(what, unit, measure, at, s.perUnit(), full, s.at(full)));
+        System.out.println(rows.get(rows.size() - 1).toMarkdown());
+    }
+}
--- a/core/src/main/java/io/fuchsiastand/membership/Membership.java
+++ b/core/src/main/java/io/fuchsiastand/membership/Membership.java
@@ -53,6 +53,7 @@
     // Null after a change; made again when it is asked for, as changes come in great number when a daemon joins.
     private List<Member> neighbours = List.of();
     private int nextProbe;
+    private int reachableCount = 1;
 
     /**
      * Creates the membership of one daemon.
@@ -115,6 +116,15 @@
         return members.values().stream().filter(Member::isReachable).toList();
     }
 
+    /**
+     * Returns the number of members that can be reached, this daemon included.
+     *
+     * @return the number
+     */
+    public synchronized int reachableCount() {
+        return reachableCount;
+    }
+
     /**
      * Returns the members that this daemon probes and gossips with.
      *
@@ -278,7 +288,8 @@
     }
 
     private void change(Member m) {
-        members.put(m.host(), m);
+        Member before = members.put(m.host(), m);
+        reachableCount += (m.isReachable() ? 1 : 0) - (before != null && before.isReachable() ? 1 : 0);
         enqueue(m.host());
         neighbours = null;
         listeners.forEach(l -> l.accept(m));
--- a/daemon/src/main/java/io/fuchsiastand/daemon/Blackboard.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/Blackboard.java
@@ -161,7 +161,7 @@
      * @return the number, at least 1
      */
     public int fleetSize() {
-        return Math.max(1, members.reachable().size());
+        return Math.max(1, members.reachableCount());
     }
 
     private Optional<Service> service(String name) {
--- a/daemon/src/main/java/io/fuchsiastand/daemon/Daemon.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/Daemon.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 
+import io.fuchsiastand.membership.Gossip;
 import io.fuchsiastand.platform.HttpObjectStore;
 import io.fuchsiastand.platform.ObjectStore;
 import io.fuchsiastand.time.Clock;
@@ -147,7 +148,7 @@
     }
 
     private void startThreads() {
-        every(GossipController.TICK, gossip::tick);
+        every(Gossip.TICK, gossip::tick);
         every(BackendController.TICK, backends::tick);
         every(LimitController.TICK, limits::tick);
         every(READY_CHECK, this::checkReady);
--- a/daemon/src/main/java/io/fuchsiastand/daemon/GossipController.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/GossipController.java
@@ -1,7 +1,6 @@
 package io.fuchsiastand.daemon;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
@@ -13,9 +12,9 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 
+import io.fuchsiastand.membership.Gossip;
 import io.fuchsiastand.membership.Member;
 import io.fuchsiastand.membership.Membership;
-import io.fuchsiastand.protocol.MemberState;
 import io.fuchsiastand.protocol.MemberUpdate;
 import io.fuchsiastand.protocol.PeerGrpc;
 import io.fuchsiastand.protocol.ProbeReply;
@@ -32,9 +31,6 @@
  */
 public final class GossipController {
 
-    /** Time between two ticks. */
-    public static final Duration TICK = Duration.ofMillis(200);
-
     private static final Duration SYNC_PERIOD = Duration.ofSeconds(2);
     private static final Duration CALL_TIMEOUT = Duration.ofSeconds(2);
     private static final Duration REJOIN_PERIOD = Duration.ofSeconds(2);
@@ -42,11 +38,11 @@
 
     private final Blackboard board;
     private final Peers peers;
+    private final Gossip core;
     private final Supplier<List<String>> missing;
     private final SplittableRandom random = new SplittableRandom();
     private final Set<Settings.Endpoint> seeds = ConcurrentHashMap.newKeySet();
     private volatile boolean synced;
-    private long lastProbe;
     private long lastSync;
     private long lastJoin;
 
@@ -61,6 +57,7 @@
         this.board = board;
         this.peers = peers;
         this.missing = missing;
+        core = new Gossip(board.members(), board.records(), board.clock());
         seeds.addAll(board.settings().seeds());
     }
 
@@ -94,11 +91,7 @@
         if (members.neighbours().isEmpty()) {
             return;
         }
-        boolean news = members.hasUpdates() || board.records().hasRumours();
-        if (news || now - lastProbe >= Membership.PROBE_PERIOD.toNanos()) {
-            lastProbe = now;
-            members.nextProbe().ifPresent(this::probe);
-        }
+        core.due().ifPresent(this::probe);
         if (!synced || now - lastSync >= SYNC_PERIOD.toNanos()) {
             lastSync = now;
             sync(anyNeighbour());
@@ -116,8 +109,8 @@
      * @param answer called with the answer
      */
     public void onProbe(ProbeRequest request, Consumer<ProbeReply> answer) {
-        boolean known = board.members().find(request.getFrom()).isPresent();
-        receive(request.getUpdatesList(), request.getRecordsList());
+        boolean known = core.receive(request);
+        touch();
         String self = board.settings().host();
         if (request.getTarget().isEmpty()) {
             answer.accept(ProbeReply.newBuilder()
@@ -125,15 +118,15 @@
                     .addAllUpdates(board.members().snapshot())
                     .build());
         } else if (request.getTarget().equals(self)) {
-            answer.accept(reply(true, known));
+            answer.accept(core.reply(true, known));
         } else {
             Member target = board.members().find(request.getTarget()).orElse(null);
             if (target == null) {
-                answer.accept(reply(false, known));
+                answer.accept(core.reply(false, known));
                 return;
             }
             send(target, target.host(), Membership.PROBE_TIMEOUT)
-                    .whenComplete((r, e) -> answer.accept(reply(e == null && r.getAcknowledged(), known)));
+                    .whenComplete((r, e) -> answer.accept(core.reply(e == null && r.getAcknowledged(), known)));
         }
     }
 
@@ -208,16 +201,7 @@
     }
 
     private CompletableFuture<ProbeReply> send(Member to, String target, Duration timeout) {
-        ProbeRequest.Builder b = ProbeRequest.newBuilder()
-                .setFrom(board.settings().host())
-                .setTarget(target)
-                .addAllUpdates(board.members().takeUpdates())
-                .addAllRecords(board.records().takeRumours());
-        if (to.state() != MemberState.ALIVE) {
-            // A member that is suspected hears of it first hand, so that it can refute.
-            b.addUpdates(to.toUpdate());
-        }
-        ProbeRequest request = b.build();
+        ProbeRequest request = core.request(to, target);
         return peers.<ProbeReply>call(to, timeout, (stub, o) -> stub.probe(request, o))
                 .whenComplete((r, e) -> {
                     if (e == null) {
@@ -252,24 +236,14 @@
                 to, CALL_TIMEOUT, (PeerGrpc.PeerStub stub, StreamObserver<SyncReply> o) -> stub.sync(request, o));
     }
 
-    private ProbeReply reply(boolean acknowledged, boolean known) {
-        List<MemberUpdate> updates = new ArrayList<>(board.members().takeUpdates());
-        if (!known) {
-            updates.addAll(board.members().snapshot());
-        }
-        return ProbeReply.newBuilder()
-                .setAcknowledged(acknowledged)
-                .addAllUpdates(updates)
-                .addAllRecords(board.records().takeRumours())
-                .build();
+    private void receive(List<MemberUpdate> updates, List<Record> records) {
+        core.receive(updates, records);
+        touch();
     }
 
-    private void receive(List<MemberUpdate> updates, List<Record> records) {
+    private void touch() {
         Freshness f = board.freshness().get();
         board.freshness().set(new Freshness(f.platform(), board.clock().nanoTime()));
-        board.members().apply(updates);
-        int size = board.fleetSize();
-        records.forEach(r -> board.records().put(r, size));
     }
 
     private Member anyNeighbour() {
