Measure the latency that daemons add

Cause: the target is 2 ms added for 99 in 100, and no figure stood. Change: bench load sends an open loop direct, over one hop and over two, in turns.

--- a/bench/src/main/java/io/fuchsiastand/bench/Bench.java
+++ b/bench/src/main/java/io/fuchsiastand/bench/Bench.java
@@ -7,6 +7,7 @@
 
 import io.fuchsiastand.bench.capacity.CapacityBench;
 import io.fuchsiastand.bench.capacity.CapacityReport;
+import io.fuchsiastand.bench.load.LoadBench;
 import io.fuchsiastand.config.Json;
 import org.kohsuke.args4j.Argument;
 import org.kohsuke.args4j.CmdLineException;
@@ -22,7 +23,9 @@
     /** What to measure. */
     enum Subject {
         /** Slopes of structures and steps. */
-        CAPACITY
+        CAPACITY,
+        /** Latency that daemons add; needs a running fleet, which bin/bench-load starts. */
+        LOAD
     }
 
     @Argument(metaVar = "SUBJECT", usage = "what to measure", required = true)
@@ -31,6 +34,21 @@
     @Option(name = "--out", metaVar = "FILE", usage = "where to save the figures as JSON")
     private Path out;
 
+    @Option(name = "--ports", metaVar = "DIRECT,ONE,TWO", usage = "load: ports for no, one and two hops")
+    private String ports = "";
+
+    @Option(name = "--pids", metaVar = "INGRESS,OWNER", usage = "load: processes of the two daemons")
+    private String pids = "";
+
+    @Option(name = "--key", usage = "load: the team key")
+    private String key;
+
+    @Option(name = "--rate", usage = "load: requests per second")
+    private int rate = 1000;
+
+    @Option(name = "--warm", usage = "load: seconds to warm up each path")
+    private int warm = 10;
+
     private Bench() {}
 
     /**
@@ -60,6 +78,21 @@
                 save(r);
                 yield r.checks();
             }
+            case LOAD -> {
+                String[] p = ports.split(",");
+                String[] q = pids.split(",");
+                LoadBench.Report r = LoadBench.run(new LoadBench.Fleet(
+                        Integer.parseInt(p[0]),
+                        Integer.parseInt(p[1]),
+                        Integer.parseInt(p[2]),
+                        key,
+                        rate,
+                        warm,
+                        Long.parseLong(q[0]),
+                        Long.parseLong(q[1])));
+                save(r);
+                yield r.checks();
+            }
         };
     }
 
