Judge backend servers against their service, and tokens ahead of need

Change: owners tell how each backend server did lately with each answer, ingress daemons pass the median on with each call, and tests of failures scale with what is normal for the service; cold starts are no evidence of slowness; batches of tokens are renewed in the background when they run low.

--- a/bench/src/main/java/io/fuchsiastand/bench/Bench.java
+++ b/bench/src/main/java/io/fuchsiastand/bench/Bench.java
@@ -7,6 +7,7 @@
 
 import io.fuchsiastand.bench.capacity.CapacityBench;
 import io.fuchsiastand.bench.capacity.CapacityReport;
+import io.fuchsiastand.bench.decisions.DecisionsBench;
 import io.fuchsiastand.bench.load.LoadBench;
 import io.fuchsiastand.config.Json;
 import org.kohsuke.args4j.Argument;
@@ -24,6 +25,8 @@
     enum Subject {
         /** Slopes of structures and steps. */
         CAPACITY,
+        /** Decisions under load and faults, on the virtual clock. */
+        DECISIONS,
         /** Latency that daemons add; needs a running fleet, which bin/bench-load starts. */
         LOAD
     }
@@ -34,6 +37,9 @@
     @Option(name = "--out", metaVar = "FILE", usage = "where to save the figures as JSON")
     private Path out;
 
+    @Option(name = "--scale", usage = "decisions: multiplies the number of seeds")
+    private int scale = 1;
+
     @Option(name = "--ports", metaVar = "DIRECT,ONE,TWO", usage = "load: ports for no, one and two hops")
     private String ports = "";
 
@@ -78,6 +84,11 @@
                 save(r);
                 yield r.checks();
             }
+            case DECISIONS -> {
+                List<Check> checks = DecisionsBench.run(scale);
+                save(checks);
+                yield checks;
+            }
             case LOAD -> {
                 String[] p = ports.split(",");
                 String[] q = pids.split(",");
--- a/bench/src/main/java/io/fuchsiastand/bench/capacity/StructureSlopes.java
+++ b/bench/src/main/java/io/fuchsiastand/bench/capacity/StructureSlopes.java
@@ -17,6 +17,7 @@
 import io.fuchsiastand.config.Json;
 import io.fuchsiastand.idempotency.KeyLog;
 import io.fuchsiastand.key.KeyTable;
+import io.fuchsiastand.limit.Demand;
 import io.fuchsiastand.limit.RightsTerms;
 import io.fuchsiastand.limit.ShardEntry;
 import io.fuchsiastand.limit.ShardLedger;
@@ -190,7 +191,7 @@
             TeamService[] keys = new TeamService[n];
             Arrays.setAll(keys, i -> new TeamService("team-" + i, "service-1"));
             Allowance a = new Allowance(50, 20);
-            return Meter.nanos(OPERATIONS, i -> l.acquire(keys[i % n], a, 0, WHOLE, i * 1000L));
+            return Meter.nanos(OPERATIONS, i -> l.acquire(Demand.one(keys[i % n]), a, WHOLE, i * 1000L));
         });
         heap("idempotency keys", "key in the window", new int[] {1_000, 5_000, 20_000}, 4_000, n -> {
             KeyLog log = new KeyLog(0);
@@ -210,7 +211,11 @@
     private static ShardLedger ledger(int n) {
         ShardLedger l = new ShardLedger();
         for (int i = 0; i < n; i++) {
-            l.acquire(new TeamService("team-" + i, "service-1"), new Allowance(50, 20), 0, WHOLE, 1_000_000_000L);
+            l.acquire(
+                    Demand.one(new TeamService("team-" + i, "service-1")),
+                    new Allowance(50, 20),
+                    WHOLE,
+                    1_000_000_000L);
         }
         return l;
     }
--- a/core/src/main/java/io/fuchsiastand/health/BackendHealth.java
+++ b/core/src/main/java/io/fuchsiastand/health/BackendHealth.java
@@ -1,6 +1,7 @@
 package io.fuchsiastand.health;
 
 import java.time.Duration;
+import java.util.Optional;
 
 import io.fuchsiastand.config.Detection;
 import io.fuchsiastand.routing.BackendState;
@@ -26,6 +27,7 @@
     private static final int MOST_DOUBLINGS = 6;
 
     private final OutlierDetector detector;
+    private final CallWindow window = new CallWindow();
     private BackendState state = BackendState.STARTING;
     private long since;
     private int relapses;
@@ -53,7 +55,10 @@
      * @param now monotonic time in nanoseconds
      */
     public synchronized void observe(Outcome outcome, double millis, Baseline baseline, long now) {
-        boolean alarm = detector.observe(outcome, millis, baseline, now);
+        if (outcome == Outcome.SUCCESS || outcome == Outcome.FAILURE) {
+            window.observe(outcome == Outcome.FAILURE, millis);
+        }
+        boolean alarm = detector.observe(outcome, millis, baseline, isCold(), now);
         if (alarm && (state == BackendState.SERVING || state == BackendState.STARTING)) {
             eject(now);
         }
@@ -85,6 +90,15 @@
         change(BackendState.DRAINING, now);
     }
 
+    /**
+     * Returns how the backend server did lately.
+     *
+     * @return the summary, or nothing until it has answered a few calls
+     */
+    public synchronized Optional<ServerSummary> summary() {
+        return window.summary();
+    }
+
     /**
      * Returns the state.
      *
@@ -117,6 +131,11 @@
         return state == BackendState.EJECTED ? severity : 0;
     }
 
+    // A backend server that comes back from an ejection is not cold; it must show that it is quick again.
+    private boolean isCold() {
+        return state == BackendState.STARTING && relapses == 0;
+    }
+
     private void eject(long now) {
         severity = Math.max(1, detector.severity());
         relapses = Math.min(relapses + 1, MOST_DOUBLINGS + 1);
--- a/core/src/main/java/io/fuchsiastand/health/Cusum.java
+++ b/core/src/main/java/io/fuchsiastand/health/Cusum.java
@@ -8,27 +8,37 @@
  */
 final class Cusum {
 
-    private final double raised;
+    private static final double MOST = 0.95;
+
+    private final double least;
+    private final double factor;
     private double sum;
 
     /**
      * Creates a test.
      *
-     * @param raised the probability to be detected
+     * @param least the least probability to be detected
+     * @param factor the least multiple of the normal probability to be detected
      */
-    Cusum(double raised) {
-        this.raised = raised;
+    Cusum(double least, double factor) {
+        this.least = least;
+        this.factor = factor;
     }
 
     /**
      * Adds an observation.
      *
      * @param event whether the event happened
-     * @param normal the probability of the event while all is well, below the raised one
+     * @param normal the probability of the event while all is well
      */
     void observe(boolean event, double normal) {
-        double p = Math.min(normal, raised / 2);
-        double ratio = event ? raised / p : (1 - raised) / (1 - p);
+        double raised = Math.min(MOST, Math.max(least, factor * normal));
+        if (normal >= raised / 2) {
+            // The event is so common that it tells nothing.
+            sum = 0;
+            return;
+        }
+        double ratio = event ? raised / normal : (1 - raised) / (1 - normal);
         sum = Math.max(0, sum + Math.log(ratio));
     }
 
--- a/core/src/main/java/io/fuchsiastand/health/OutlierDetector.java
+++ b/core/src/main/java/io/fuchsiastand/health/OutlierDetector.java
@@ -16,6 +16,8 @@
     private static final double NORMAL_FAILURES = 0.003;
     private static final double SLIGHT_FAILURES = 0.05;
     private static final double GROSS_FAILURES = 0.5;
+    private static final double LEAST_FACTOR = 3;
+    private static final double NORMAL_MARGIN = 1.5;
     private static final double NORMAL_SLOW = 0.05;
     private static final double RAISED_SLOW = 0.4;
     private static final int TESTS = 3;
@@ -26,9 +28,9 @@
     private static final double SMOOTHING = 0.05;
 
     private final double falseAlarmsPerDay;
-    private final Cusum slightFailures = new Cusum(SLIGHT_FAILURES);
-    private final Cusum grossFailures = new Cusum(GROSS_FAILURES);
-    private final Cusum slowCalls = new Cusum(RAISED_SLOW);
+    private final Cusum slightFailures = new Cusum(SLIGHT_FAILURES, LEAST_FACTOR);
+    private final Cusum grossFailures = new Cusum(GROSS_FAILURES, LEAST_FACTOR);
+    private final Cusum slowCalls = new Cusum(RAISED_SLOW, LEAST_FACTOR);
     private double rate = 1;
     private long lastCall;
     private double badShare;
@@ -48,19 +50,20 @@
      * @param outcome what the call says
      * @param millis service time; of no meaning unless the outcome is a success
      * @param baseline how the service does at large
+     * @param cold whether the backend server has just started, so that slow calls are no evidence
      * @param now monotonic time in nanoseconds
      * @return true if the backend server is an outlier
      */
-    public boolean observe(Outcome outcome, double millis, Baseline baseline, long now) {
+    public boolean observe(Outcome outcome, double millis, Baseline baseline, boolean cold, long now) {
         if (outcome == Outcome.SHED || outcome == Outcome.CANCELLED) {
             return isOutlier();
         }
         countRate(now);
         boolean failed = outcome == Outcome.FAILURE;
-        double normal = Math.max(NORMAL_FAILURES, 2 * baseline.failureShare());
+        double normal = Math.max(NORMAL_FAILURES, NORMAL_MARGIN * baseline.failureShare());
         slightFailures.observe(failed, normal);
         grossFailures.observe(failed, normal);
-        boolean slow = !failed && baseline.slowMillis() > 0 && millis > baseline.slowMillis();
+        boolean slow = !failed && !cold && baseline.slowMillis() > 0 && millis > baseline.slowMillis();
         if (!failed) {
             slowCalls.observe(slow, NORMAL_SLOW);
         }
--- a/core/src/main/java/io/fuchsiastand/limit/BatchCache.java
+++ b/core/src/main/java/io/fuchsiastand/limit/BatchCache.java
@@ -1,5 +1,7 @@
 package io.fuchsiastand.limit;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.LinkedHashMap;
 import java.util.Map;
 
@@ -15,22 +17,37 @@
     private static final double HOT_RATE = 30;
     private static final double SMOOTHING_SECONDS = 0.5;
     private static final int MOST_BATCH = 64;
+    private static final long AHEAD_PATIENCE_NANOS = 50_000_000;
 
     private final Map<TeamService, Entry> entries = new LinkedHashMap<>(16, 0.75f, true);
 
     /** What is known of one team and service. */
     private static final class Entry {
+        private final Deque<Batch> batches = new ArrayDeque<>(2);
         private int tokens;
-        private long tokensUntil;
+        private long aheadUntil;
         private long refusedUntil;
         private double rate;
         private long lastCall;
     }
 
+    /** Tokens that expire together. */
+    private static final class Batch {
+        private final long until;
+        private int tokens;
+
+        private Batch(int tokens, long until) {
+            this.tokens = tokens;
+            this.until = until;
+        }
+    }
+
     /** What the cache says of a request. */
     public enum Answer {
         /** A token was taken from a batch. */
         GRANTED,
+        /** A token was taken from a batch that runs low; more should be asked for without waiting. */
+        GRANTED_LOW,
         /** The holder said that no token will be there yet. */
         REFUSED,
         /** The holder must be asked. */
@@ -50,9 +67,14 @@
             entries.remove(entries.keySet().iterator().next());
         }
         observe(e, now);
-        if (e.tokens > 0 && now < e.tokensUntil) {
-            e.tokens--;
-            return Answer.GRANTED;
+        expire(e, now);
+        if (e.tokens > 0) {
+            spend(e);
+            boolean low = e.tokens < wanted(e) / 2 && now >= e.aheadUntil;
+            if (low) {
+                e.aheadUntil = now + AHEAD_PATIENCE_NANOS;
+            }
+            return low ? Answer.GRANTED_LOW : Answer.GRANTED;
         }
         return now < e.refusedUntil ? Answer.REFUSED : Answer.ASK;
     }
@@ -65,11 +87,7 @@
      */
     public synchronized int batchFor(TeamService key) {
         Entry e = entries.get(key);
-        if (e == null || e.rate < HOT_RATE) {
-            return 0;
-        }
-        double term = ShardLedger.BATCH_TERM.toNanos() / NANOS_PER_SECOND;
-        return (int) Math.min(MOST_BATCH, e.rate * term);
+        return e == null ? 0 : wanted(e);
     }
 
     /**
@@ -96,13 +114,39 @@
         switch (grant.result()) {
             case GRANTED -> {
                 if (grant.batch() > 0) {
-                    e.tokens = grant.batch();
-                    e.tokensUntil = sentAt + grant.validMillis() * NANOS_PER_MILLI;
+                    e.batches.add(new Batch(grant.batch(), sentAt + grant.validMillis() * NANOS_PER_MILLI));
+                    e.tokens += grant.batch();
                 }
             }
             case OVER_RATE -> e.refusedUntil = sentAt + grant.retryAfterMillis() * NANOS_PER_MILLI;
-            default -> e.tokens = 0;
+            default -> {
+                e.batches.clear();
+                e.tokens = 0;
+            }
         }
+        e.aheadUntil = 0;
+    }
+
+    private static void expire(Entry e, long now) {
+        while (!e.batches.isEmpty() && (now >= e.batches.peek().until || e.batches.peek().tokens == 0)) {
+            e.tokens -= e.batches.poll().tokens;
+        }
+    }
+
+    private static void spend(Entry e) {
+        e.tokens--;
+        e.batches.peek().tokens--;
+        if (e.batches.peek().tokens == 0) {
+            e.batches.poll();
+        }
+    }
+
+    private static int wanted(Entry e) {
+        if (e.rate < HOT_RATE) {
+            return 0;
+        }
+        double term = ShardLedger.BATCH_TERM.toNanos() / NANOS_PER_SECOND;
+        return (int) Math.min(MOST_BATCH, e.rate * term);
     }
 
     private static void observe(Entry e, long now) {
--- a/core/src/main/java/io/fuchsiastand/limit/ShardLedger.java
+++ b/core/src/main/java/io/fuchsiastand/limit/ShardLedger.java
@@ -52,18 +52,17 @@
     /**
      * Decides about a request.
      *
-     * @param key the team and the service
+     * @param demand the team and the service, and what is wanted
      * @param allowance what the team's plan allows
-     * @param batch tokens wanted beside the one for the request
      * @param share the rights that may be used now
      * @param now monotonic time in nanoseconds
      * @return the decision
      */
-    public Grant acquire(TeamService key, Allowance allowance, int batch, Share share, long now) {
+    public Grant acquire(Demand demand, Allowance allowance, Share share, long now) {
         if (share.halves() == 0) {
             return Grant.NO_RIGHT;
         }
-        Entry e = entries.computeIfAbsent(key, k -> new Entry(allowance, share));
+        Entry e = entries.computeIfAbsent(demand.key(), k -> new Entry(allowance, share));
         if (entries.size() > MOST_ENTRIES) {
             entries.remove(entries.keySet().iterator().next());
         }
@@ -74,13 +73,14 @@
         if (level < 1) {
             return refuse(allowance, share, level);
         }
-        int extra = (int) Math.min(batch, Math.min(level - 1, allowance.burst() * BATCH_SHARE));
-        take(e, 1.0 + extra, other);
+        int first = demand.ahead() ? 0 : 1;
+        int extra = (int) Math.min(demand.batch(), Math.min(level - first, allowance.burst() * BATCH_SHARE));
+        take(e, first + extra, other);
         if (extra > 0) {
             e.batches.add(new Batch(now + RightsTerms.fence(BATCH_TERM), extra));
             e.outstanding += extra;
         }
-        return new Grant(AcquireResult.GRANTED, extra, (int) BATCH_TERM.toMillis(), 0, (int) (level - 1 - extra));
+        return new Grant(AcquireResult.GRANTED, extra, (int) BATCH_TERM.toMillis(), 0, (int) (level - first - extra));
     }
 
     /**
--- a/core/src/test/java/io/fuchsiastand/limit/ShardLedgerTest.java
+++ b/core/src/test/java/io/fuchsiastand/limit/ShardLedgerTest.java
@@ -45,23 +45,25 @@
     @Test
     void saysWhenTheNextTokenWillBeThere() {
         Allowance a = new Allowance(4, 1);
-        assertThat(ledger.acquire(KEY, a, 0, WHOLE, 10 * SECOND).isGranted()).isTrue();
-        Grant refused = ledger.acquire(KEY, a, 0, WHOLE, 10 * SECOND);
+        assertThat(ledger.acquire(Demand.one(KEY), a, WHOLE, 10 * SECOND).isGranted())
+                .isTrue();
+        Grant refused = ledger.acquire(Demand.one(KEY), a, WHOLE, 10 * SECOND);
         assertThat(refused.result()).isEqualTo(AcquireResult.OVER_RATE);
         assertThat(refused.retryAfterMillis()).isEqualTo(250);
-        assertThat(ledger.acquire(KEY, a, 0, WHOLE, 10 * SECOND + SECOND / 4).isGranted())
+        assertThat(ledger.acquire(Demand.one(KEY), a, WHOLE, 10 * SECOND + SECOND / 4)
+                        .isGranted())
                 .isTrue();
     }
 
     @Test
     void grantsNothingWithoutARight() {
-        Grant g = ledger.acquire(KEY, new Allowance(10, 10), 0, Share.NONE, SECOND);
+        Grant g = ledger.acquire(Demand.one(KEY), new Allowance(10, 10), Share.NONE, SECOND);
         assertThat(g.result()).isEqualTo(AcquireResult.NO_RIGHT);
     }
 
     @Test
     void refusesForGoodAtRateZero() {
-        Grant g = ledger.acquire(KEY, new Allowance(0, 1), 0, WHOLE, SECOND);
+        Grant g = ledger.acquire(Demand.one(KEY), new Allowance(0, 1), WHOLE, SECOND);
         assertThat(g.result()).isEqualTo(AcquireResult.OVER_RATE);
     }
 
@@ -74,9 +76,10 @@
         long now = 0;
         for (int i = 0; i < 3000; i++) {
             now += random.nextLong(SECOND / 100);
-            Grant g = ledger.acquire(KEY, a, random.nextInt(10), WHOLE, now);
+            Demand demand = new Demand(KEY, random.nextInt(10), random.nextInt(4) == 0);
+            Grant g = ledger.acquire(demand, a, WHOLE, now);
             if (g.isGranted()) {
-                spent.add(new long[] {now, 1});
+                spent.add(new long[] {now, demand.ahead() ? 0 : 1});
                 // The batch may be spent at any moment until it runs out.
                 long later = now + random.nextLong(g.validMillis() * 1_000_000L);
                 spent.add(new long[] {later, g.batch()});
@@ -96,7 +99,7 @@
     private int grants(Allowance a, Share share, long now, int calls) {
         int n = 0;
         for (int i = 0; i < calls; i++) {
-            n += ledger.acquire(KEY, a, 0, share, now).isGranted() ? 1 : 0;
+            n += ledger.acquire(Demand.one(KEY), a, share, now).isGranted() ? 1 : 0;
         }
         return n;
     }
--- a/daemon/src/main/java/io/fuchsiastand/daemon/Dispatcher.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/Dispatcher.java
@@ -13,7 +13,7 @@
 
 import io.fuchsiastand.error.ErrorCode;
 import io.fuchsiastand.health.Baseline;
-import io.fuchsiastand.health.Outcome;
+import io.fuchsiastand.health.ServerSummary;
 import io.fuchsiastand.health.ServiceBaseline;
 import io.fuchsiastand.membership.Member;
 import io.fuchsiastand.routing.Candidate;
@@ -205,18 +205,10 @@
     private Single<StreamingHttpResponse> onAnswer(Attempts a, Call call, String service, StreamingHttpResponse r) {
         HttpHeaders h = r.headers();
         int status = r.status().code();
-        boolean refused = h.contains(HeaderNames.REFUSED_BY);
         boolean notRun = isNotRun(h);
-        if (!refused) {
-            Outcome outcome = notRun ? Outcome.SHED : status >= SERVER_ERROR ? Outcome.FAILURE : Outcome.SUCCESS;
-            baseline(service)
-                    .observe(
-                            call.candidate.host()
-                                    + '/'
-                                    + call.candidate.server().id(),
-                            outcome,
-                            decimal(h.get(HeaderNames.SERVICE_TIME)));
-        }
+        String server = call.candidate.host() + '/' + call.candidate.server().id();
+        ServerSummary.parse(h.get(HeaderNames.SUMMARY))
+                .ifPresent(x -> baseline(service).observe(server, x));
         call.end((int) decimalOr(h.get(HeaderNames.LOAD), -1));
         boolean failed = status >= SERVER_ERROR && status != NOT_IMPLEMENTED;
         if (failed && a.mayRepeat(notRun)) {
@@ -243,7 +235,7 @@
     }
 
     private ServiceBaseline baseline(String service) {
-        return baselines.computeIfAbsent(service, k -> new ServiceBaseline());
+        return baselines.computeIfAbsent(service, k -> new ServiceBaseline(board.clock()));
     }
 
     /**
@@ -257,10 +249,6 @@
         return v != null && HeaderNames.NOT_RUN.contentEquals(v);
     }
 
-    private static double decimal(CharSequence value) {
-        return decimalOr(value, 0);
-    }
-
     private static double decimalOr(CharSequence value, double fallback) {
         try {
             return value == null ? fallback : Double.parseDouble(value.toString());
--- a/daemon/src/main/java/io/fuchsiastand/daemon/HeaderNames.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/HeaderNames.java
@@ -25,8 +25,8 @@
     public static final String BASELINE_SLOW = "fuchsiastand-baseline-slow";
     /** Calls that a backend server runs or keeps waiting; only between daemons. */
     public static final String LOAD = "fuchsiastand-load";
-    /** Time that a backend server took, in milliseconds; only between daemons. */
-    public static final String SERVICE_TIME = "fuchsiastand-service-ms";
+    /** How the backend server did lately; only between daemons. */
+    public static final String SUMMARY = "fuchsiastand-summary";
     /** Marks an answer made by a daemon; only between daemons. */
     public static final String REFUSED_BY = "fuchsiastand-refused-by";
     /** Credential of a caller (RFC 9110, section 11.6.2). */
--- a/daemon/src/main/java/io/fuchsiastand/daemon/LimitClient.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/LimitClient.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CompletionStage;
 
 import io.fuchsiastand.limit.BatchCache;
+import io.fuchsiastand.limit.Demand;
 import io.fuchsiastand.limit.Grant;
 import io.fuchsiastand.limit.ShardEntry;
 import io.fuchsiastand.limit.TeamService;
@@ -57,6 +58,11 @@
         TeamService key = new TeamService(team, service);
         long now = board.clock().nanoTime();
         switch (cache.take(key, now)) {
+            case GRANTED_LOW -> {
+                // Asked for in the background, so that no request waits for the answer.
+                ask(new Demand(key, cache.batchFor(key), true), now).subscribe(g -> {});
+                return succeeded(new Grant(AcquireResult.GRANTED, 0, 0, 0, 0));
+            }
             case GRANTED -> {
                 return succeeded(new Grant(AcquireResult.GRANTED, 0, 0, 0, 0));
             }
@@ -64,7 +70,7 @@
                 return succeeded(new Grant(AcquireResult.OVER_RATE, 0, 0, cache.retryAfterMillis(key, now), 0));
             }
             default -> {
-                return ask(key, now);
+                return ask(new Demand(key, cache.batchFor(key), false), now);
             }
         }
     }
@@ -79,8 +85,8 @@
         String to = request.getRelayTo();
         if (to.isEmpty() || to.equals(board.settings().host())) {
             TeamService key = new TeamService(request.getTeam(), request.getService());
-            return CompletableFuture.completedFuture(
-                    toReply(limits.acquire(request.getShard(), key, request.getBatch())));
+            return CompletableFuture.completedFuture(toReply(
+                    limits.acquire(request.getShard(), new Demand(key, request.getBatch(), request.getAhead()))));
         }
         Optional<Member> m = board.members().find(to);
         if (m.isEmpty()) {
@@ -89,16 +95,16 @@
         return send(m.get(), request.toBuilder().clearRelayTo().build());
     }
 
-    private Single<Grant> ask(TeamService key, long sentAt) {
+    private Single<Grant> ask(Demand demand, long sentAt) {
+        TeamService key = demand.key();
         int shard = limits.shardOf(key.team());
         ShardEntry row = shard < 0 ? null : limits.row(shard).orElse(null);
         if (row == null) {
             return succeeded(Grant.NO_RIGHT);
         }
-        int batch = cache.batchFor(key);
         String self = board.settings().host();
         if (row.names(self)) {
-            Grant own = limits.acquire(shard, key, batch);
+            Grant own = limits.acquire(shard, demand);
             if (own.result() == AcquireResult.GRANTED || own.result() == AcquireResult.OVER_RATE) {
                 cache.accept(key, own, sentAt);
                 return succeeded(own);
@@ -109,7 +115,8 @@
                 .setShard(shard)
                 .setTeam(key.team())
                 .setService(key.service())
-                .setBatch(batch)
+                .setBatch(demand.batch())
+                .setAhead(demand.ahead())
                 .build();
         List<String> hosts = row.hosts().stream().filter(h -> !h.equals(self)).toList();
         return fromStage(askEach(hosts, 0, request)).map(g -> {
--- a/daemon/src/main/java/io/fuchsiastand/daemon/LimitController.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/LimitController.java
@@ -14,12 +14,12 @@
 import io.fuchsiastand.config.Json;
 import io.fuchsiastand.error.FuchsiastandException;
 import io.fuchsiastand.key.Digests;
+import io.fuchsiastand.limit.Demand;
 import io.fuchsiastand.limit.Grant;
 import io.fuchsiastand.limit.ShardEntry;
 import io.fuchsiastand.limit.ShardLedger;
 import io.fuchsiastand.limit.ShardRights;
 import io.fuchsiastand.limit.Share;
-import io.fuchsiastand.limit.TeamService;
 import io.fuchsiastand.membership.Member;
 import io.fuchsiastand.protocol.MemberState;
 import io.fuchsiastand.protocol.Record;
@@ -138,11 +138,10 @@
      * Grants tokens from the rights of this daemon.
      *
      * @param shard the number of the shard
-     * @param key the team and the service
-     * @param batch tokens wanted beside the one for the request
+     * @param demand the team and the service, and what is wanted
      * @return the decision
      */
-    public Grant acquire(int shard, TeamService key, int batch) {
+    public Grant acquire(int shard, Demand demand) {
         Shard s = shards.get(shard);
         if (s == null) {
             return Grant.NOT_HOLDER;
@@ -150,14 +149,14 @@
         Allowance a = board.configuration()
                 .get()
                 .configuration()
-                .allowance(key.team(), key.service())
+                .allowance(demand.key().team(), demand.key().service())
                 .orElse(null);
         if (a == null) {
             return Grant.NO_RIGHT;
         }
         synchronized (s) {
             long now = board.clock().nanoTime();
-            return s.ledger.acquire(key, a, batch, s.rights.share(now), now);
+            return s.ledger.acquire(demand, a, s.rights.share(now), now);
         }
     }
 
--- a/daemon/src/main/java/io/fuchsiastand/daemon/LocalBackend.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/LocalBackend.java
@@ -29,6 +29,8 @@
     private final Clock clock;
     private final Map<Long, Call> calls = new ConcurrentHashMap<>();
     private final AtomicLong numbers = new AtomicLong();
+    // The newest that any call brought, so that a service that slows down as a whole is judged by its new pace.
+    private volatile Baseline baseline = Baseline.UNKNOWN;
     private volatile long expires;
 
     /**
@@ -87,23 +89,20 @@
         private synchronized void judge(Outcome outcome) {
             if (!judged) {
                 judged = true;
-                health.observe(outcome, headMillis > 0 ? headMillis : millis(), call.baseline(), clock.nanoTime());
+                health.observe(outcome, headMillis > 0 ? headMillis : millis(), baseline, clock.nanoTime());
             }
         }
 
         /**
          * Records the arrival of the head of the answer, which ends the service time.
-         *
-         * @return the service time in milliseconds
          */
-        public double head() {
+        public void head() {
             headMillis = millis();
-            return headMillis;
         }
 
         // A call that takes far longer than the service's slow calls counts as a failure before its deadline.
         private void checkOverdue(long now) {
-            Baseline b = call.baseline();
+            Baseline b = baseline;
             double most = Math.max(LEAST_OVERDUE_MILLIS, OVERDUE_FACTOR * b.slowMillis());
             if (headMillis == 0 && b.slowMillis() > 0 && (now - since) / NANOS_PER_MILLI > most) {
                 judge(Outcome.FAILURE);
@@ -184,6 +183,9 @@
      * @return the call in flight
      */
     public Call begin(FairQueue.Lease lease, OwnedCall call) {
+        if (call.baseline().slowMillis() > 0) {
+            baseline = call.baseline();
+        }
         Call c = new Call(lease, call);
         calls.put(c.number, c);
         return c;
--- a/daemon/src/main/java/io/fuchsiastand/daemon/OwnerService.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/OwnerService.java
@@ -177,7 +177,8 @@
         Outcome outcome = shed ? Outcome.SHED : r.status().code() >= SERVER_ERROR ? Outcome.FAILURE : Outcome.SUCCESS;
         HeaderNames.removeHopByHop(h);
         HeaderNames.removeOwn(h);
-        h.set(HeaderNames.SERVICE_TIME, Double.toString(c.head()));
+        c.head();
+        backend.health().summary().ifPresent(x -> h.set(HeaderNames.SUMMARY, x.toText()));
         h.set(HeaderNames.LOAD, Integer.toString(backend.queue().load()));
         if (shed && saysNotRun) {
             h.set(HeaderNames.RUN_STATE, HeaderNames.NOT_RUN);
--- a/protocol/src/main/java/io/fuchsiastand/protocol/AcquireRequest.java
+++ b/protocol/src/main/java/io/fuchsiastand/protocol/AcquireRequest.java
@@ -244,6 +244,21 @@
     }
   }
 
+  public static final int AHEAD_FIELD_NUMBER = 8;
+  private boolean ahead_ = false;
+  /**
+   * <pre>
+   * No request waits; only the batch is wanted.
+   * </pre>
+   *
+   * <code>bool ahead = 8;</code>
+   * @return The ahead.
+   */
+  @java.lang.Override
+  public boolean getAhead() {
+    return ahead_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -279,6 +294,9 @@
     if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(relayTo_)) {
       com.google.protobuf.GeneratedMessageV3.writeString(output, 7, relayTo_);
     }
+    if (ahead_ != false) {
+      output.writeBool(8, ahead_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -312,6 +330,10 @@
     if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(relayTo_)) {
       size += com.google.protobuf.GeneratedMessageV3.computeStringSize(7, relayTo_);
     }
+    if (ahead_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(8, ahead_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -341,6 +363,8 @@
         != other.getBatch()) return false;
     if (!getRelayTo()
         .equals(other.getRelayTo())) return false;
+    if (getAhead()
+        != other.getAhead()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -367,6 +391,9 @@
     hash = (53 * hash) + getBatch();
     hash = (37 * hash) + RELAY_TO_FIELD_NUMBER;
     hash = (53 * hash) + getRelayTo().hashCode();
+    hash = (37 * hash) + AHEAD_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getAhead());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -505,6 +532,7 @@
       configurationVersion_ = 0L;
       batch_ = 0;
       relayTo_ = "";
+      ahead_ = false;
       return this;
     }
 
@@ -559,6 +587,9 @@
       if (((from_bitField0_ & 0x00000040) != 0)) {
         result.relayTo_ = relayTo_;
       }
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        result.ahead_ = ahead_;
+      }
     }
 
     @java.lang.Override
@@ -634,6 +665,9 @@
         bitField0_ |= 0x00000040;
         onChanged();
       }
+      if (other.getAhead() != false) {
+        setAhead(other.getAhead());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -695,6 +729,11 @@
               bitField0_ |= 0x00000040;
               break;
             } // case 58
+            case 64: {
+              ahead_ = input.readBool();
+              bitField0_ |= 0x00000080;
+              break;
+            } // case 64
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1127,6 +1166,50 @@
       onChanged();
       return this;
     }
+
+    private boolean ahead_ ;
+    /**
+     * <pre>
+     * No request waits; only the batch is wanted.
+     * </pre>
+     *
+     * <code>bool ahead = 8;</code>
+     * @return The ahead.
+     */
+    @java.lang.Override
+    public boolean getAhead() {
+      return ahead_;
+    }
+    /**
+     * <pre>
+     * No request waits; only the batch is wanted.
+     * </pre>
+     *
+     * <code>bool ahead = 8;</code>
+     * @param value The ahead to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAhead(boolean value) {
+
+      ahead_ = value;
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * No request waits; only the batch is wanted.
+     * </pre>
+     *
+     * <code>bool ahead = 8;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAhead() {
+      bitField0_ = (bitField0_ & ~0x00000080);
+      ahead_ = false;
+      onChanged();
+      return this;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/protocol/src/main/java/io/fuchsiastand/protocol/AcquireRequestOrBuilder.java
+++ b/protocol/src/main/java/io/fuchsiastand/protocol/AcquireRequestOrBuilder.java
@@ -85,4 +85,14 @@
    */
   com.google.protobuf.ByteString
       getRelayToBytes();
+
+  /**
+   * <pre>
+   * No request waits; only the batch is wanted.
+   * </pre>
+   *
+   * <code>bool ahead = 8;</code>
+   * @return The ahead.
+   */
+  boolean getAhead();
 }
--- a/protocol/src/main/java/io/fuchsiastand/protocol/PeerProto.java
+++ b/protocol/src/main/java/io/fuchsiastand/protocol/PeerProto.java
@@ -138,58 +138,59 @@
       "cReply\0224\n\tdiffering\030\001 \003(\0132!.fuchsiastand" +
       ".peer.BucketVersions\022*\n\007records\030\002 \003(\0132\031." +
       "fuchsiastand.peer.Record\022\016\n\006wanted\030\003 \003(\t" +
-      "\"\214\001\n\016AcquireRequest\022\014\n\004from\030\001 \001(\t\022\r\n\005sha" +
+      "\"\233\001\n\016AcquireRequest\022\014\n\004from\030\001 \001(\t\022\r\n\005sha" +
       "rd\030\002 \001(\005\022\014\n\004team\030\003 \001(\t\022\017\n\007service\030\004 \001(\t\022" +
       "\035\n\025configuration_version\030\005 \001(\004\022\r\n\005batch\030" +
-      "\006 \001(\005\022\020\n\010relay_to\030\007 \001(\t\"\224\001\n\014AcquireReply" +
-      "\0220\n\006result\030\001 \001(\0162 .fuchsiastand.peer.Acq" +
-      "uireResult\022\r\n\005batch\030\002 \001(\005\022\024\n\014valid_milli" +
-      "s\030\003 \001(\005\022\032\n\022retry_after_millis\030\004 \001(\003\022\021\n\tr" +
-      "emaining\030\005 \001(\005\"\341\001\n\014RenewRequest\022\r\n\005shard" +
-      "\030\001 \001(\005\022\r\n\005epoch\030\002 \001(\004\022\020\n\010sequence\030\003 \001(\004\022" +
-      "\024\n\014acknowledged\030\004 \001(\004\022\022\n\nholds_half\030\005 \001(" +
-      "\010\022\022\n\ngives_half\030\006 \001(\010\022\017\n\007release\030\007 \001(\010\022\020" +
-      "\n\010to_start\030\010 \001(\004\022\037\n\027confirmation_age_mil" +
-      "lis\030\t \001(\003\022\r\n\005fresh\030\n \001(\010\022\020\n\010verified\030\013 \001" +
-      "(\010\"a\n\nRenewBatch\022\014\n\004from\030\001 \001(\t\022\022\n\nfrom_s" +
-      "tart\030\002 \001(\004\0221\n\010requests\030\003 \003(\0132\037.fuchsiast" +
-      "and.peer.RenewRequest\"\267\001\n\nRenewReply\022\r\n\005" +
-      "shard\030\001 \001(\005\022\r\n\005epoch\030\002 \001(\004\022\020\n\010sequence\030\003" +
-      " \001(\004\022\017\n\007renewed\030\004 \001(\010\022\022\n\nholds_half\030\005 \001(" +
-      "\010\022\r\n\005lends\030\006 \001(\010\022\022\n\ngives_half\030\007 \001(\010\022\037\n\027" +
-      "confirmation_age_millis\030\010 \001(\003\022\020\n\010verifie" +
-      "d\030\t \001(\010\"P\n\017RenewBatchReply\022\r\n\005start\030\001 \001(" +
-      "\004\022.\n\007replies\030\002 \003(\0132\035.fuchsiastand.peer.R" +
-      "enewReply\"Q\n\020SurrenderRequest\022\r\n\005shard\030\001" +
-      " \001(\005\022\r\n\005epoch\030\002 \001(\004\022\016\n\006holder\030\003 \001(\t\022\017\n\007s" +
-      "tandby\030\004 \001(\t\"%\n\016SurrenderReply\022\023\n\013surren" +
-      "dered\030\001 \001(\010\"\233\001\n\014TrackRequest\022\014\n\004from\030\001 \001" +
-      "(\t\022\r\n\005shard\030\002 \001(\005\022\014\n\004team\030\003 \001(\t\022\022\n\nkey_d" +
-      "igest\030\004 \001(\014\022,\n\005phase\030\005 \001(\0162\035.fuchsiastan" +
-      "d.peer.TrackPhase\022\r\n\005epoch\030\006 \001(\004\022\017\n\007atte" +
-      "mpt\030\007 \001(\004\"<\n\nTrackReply\022.\n\006result\030\001 \001(\0162" +
-      "\036.fuchsiastand.peer.TrackResult*9\n\013Membe" +
-      "rState\022\t\n\005ALIVE\020\000\022\013\n\007SUSPECT\020\001\022\010\n\004DEAD\020\002" +
-      "\022\010\n\004LEFT\020\003*I\n\rAcquireResult\022\013\n\007GRANTED\020\000" +
-      "\022\r\n\tOVER_RATE\020\001\022\016\n\nNOT_HOLDER\020\002\022\014\n\010NO_RI" +
-      "GHT\020\003*t\n\nTrackPhase\022\t\n\005BEGIN\020\000\022\007\n\003END\020\001\022" +
-      "\016\n\nCOPY_BEGIN\020\002\022\014\n\010COPY_END\020\003\022\n\n\006CANCEL\020" +
-      "\004\022\017\n\013COPY_CANCEL\020\005\022\010\n\004LOSE\020\006\022\r\n\tCOPY_LOS" +
-      "E\020\007*N\n\013TrackResult\022\013\n\007STARTED\020\000\022\013\n\007RUNNI" +
-      "NG\020\001\022\007\n\003RAN\020\002\022\013\n\007UNKNOWN\020\003\022\017\n\013UNAVAILABL" +
-      "E\020\0042\316\003\n\004Peer\022G\n\005Probe\022\037.fuchsiastand.pee" +
-      "r.ProbeRequest\032\035.fuchsiastand.peer.Probe" +
-      "Reply\022D\n\004Sync\022\036.fuchsiastand.peer.SyncRe" +
-      "quest\032\034.fuchsiastand.peer.SyncReply\022M\n\007A" +
-      "cquire\022!.fuchsiastand.peer.AcquireReques" +
-      "t\032\037.fuchsiastand.peer.AcquireReply\022J\n\005Re" +
-      "new\022\035.fuchsiastand.peer.RenewBatch\032\".fuc" +
-      "hsiastand.peer.RenewBatchReply\022S\n\tSurren" +
-      "der\022#.fuchsiastand.peer.SurrenderRequest" +
-      "\032!.fuchsiastand.peer.SurrenderReply\022G\n\005T" +
-      "rack\022\037.fuchsiastand.peer.TrackRequest\032\035." +
-      "fuchsiastand.peer.TrackReplyB\'\n\030io.fuchs" +
-      "iastand.protocolB\tPeerProtoP\001b\006proto3"
+      "\006 \001(\005\022\020\n\010relay_to\030\007 \001(\t\022\r\n\005ahead\030\010 \001(\010\"\224" +
+      "\001\n\014AcquireReply\0220\n\006result\030\001 \001(\0162 .fuchsi" +
+      "astand.peer.AcquireResult\022\r\n\005batch\030\002 \001(\005" +
+      "\022\024\n\014valid_millis\030\003 \001(\005\022\032\n\022retry_after_mi" +
+      "llis\030\004 \001(\003\022\021\n\tremaining\030\005 \001(\005\"\341\001\n\014RenewR" +
+      "equest\022\r\n\005shard\030\001 \001(\005\022\r\n\005epoch\030\002 \001(\004\022\020\n\010" +
+      "sequence\030\003 \001(\004\022\024\n\014acknowledged\030\004 \001(\004\022\022\n\n" +
+      "holds_half\030\005 \001(\010\022\022\n\ngives_half\030\006 \001(\010\022\017\n\007" +
+      "release\030\007 \001(\010\022\020\n\010to_start\030\010 \001(\004\022\037\n\027confi" +
+      "rmation_age_millis\030\t \001(\003\022\r\n\005fresh\030\n \001(\010\022" +
+      "\020\n\010verified\030\013 \001(\010\"a\n\nRenewBatch\022\014\n\004from\030" +
+      "\001 \001(\t\022\022\n\nfrom_start\030\002 \001(\004\0221\n\010requests\030\003 " +
+      "\003(\0132\037.fuchsiastand.peer.RenewRequest\"\267\001\n" +
+      "\nRenewReply\022\r\n\005shard\030\001 \001(\005\022\r\n\005epoch\030\002 \001(" +
+      "\004\022\020\n\010sequence\030\003 \001(\004\022\017\n\007renewed\030\004 \001(\010\022\022\n\n" +
+      "holds_half\030\005 \001(\010\022\r\n\005lends\030\006 \001(\010\022\022\n\ngives" +
+      "_half\030\007 \001(\010\022\037\n\027confirmation_age_millis\030\010" +
+      " \001(\003\022\020\n\010verified\030\t \001(\010\"P\n\017RenewBatchRepl" +
+      "y\022\r\n\005start\030\001 \001(\004\022.\n\007replies\030\002 \003(\0132\035.fuch" +
+      "siastand.peer.RenewReply\"Q\n\020SurrenderReq" +
+      "uest\022\r\n\005shard\030\001 \001(\005\022\r\n\005epoch\030\002 \001(\004\022\016\n\006ho" +
+      "lder\030\003 \001(\t\022\017\n\007standby\030\004 \001(\t\"%\n\016Surrender" +
+      "Reply\022\023\n\013surrendered\030\001 \001(\010\"\233\001\n\014TrackRequ" +
+      "est\022\014\n\004from\030\001 \001(\t\022\r\n\005shard\030\002 \001(\005\022\014\n\004team" +
+      "\030\003 \001(\t\022\022\n\nkey_digest\030\004 \001(\014\022,\n\005phase\030\005 \001(" +
+      "\0162\035.fuchsiastand.peer.TrackPhase\022\r\n\005epoc" +
+      "h\030\006 \001(\004\022\017\n\007attempt\030\007 \001(\004\"<\n\nTrackReply\022." +
+      "\n\006result\030\001 \001(\0162\036.fuchsiastand.peer.Track" +
+      "Result*9\n\013MemberState\022\t\n\005ALIVE\020\000\022\013\n\007SUSP" +
+      "ECT\020\001\022\010\n\004DEAD\020\002\022\010\n\004LEFT\020\003*I\n\rAcquireResu" +
+      "lt\022\013\n\007GRANTED\020\000\022\r\n\tOVER_RATE\020\001\022\016\n\nNOT_HO" +
+      "LDER\020\002\022\014\n\010NO_RIGHT\020\003*t\n\nTrackPhase\022\t\n\005BE" +
+      "GIN\020\000\022\007\n\003END\020\001\022\016\n\nCOPY_BEGIN\020\002\022\014\n\010COPY_E" +
+      "ND\020\003\022\n\n\006CANCEL\020\004\022\017\n\013COPY_CANCEL\020\005\022\010\n\004LOS" +
+      "E\020\006\022\r\n\tCOPY_LOSE\020\007*N\n\013TrackResult\022\013\n\007STA" +
+      "RTED\020\000\022\013\n\007RUNNING\020\001\022\007\n\003RAN\020\002\022\013\n\007UNKNOWN\020" +
+      "\003\022\017\n\013UNAVAILABLE\020\0042\316\003\n\004Peer\022G\n\005Probe\022\037.f" +
+      "uchsiastand.peer.ProbeRequest\032\035.fuchsias" +
+      "tand.peer.ProbeReply\022D\n\004Sync\022\036.fuchsiast" +
+      "and.peer.SyncRequest\032\034.fuchsiastand.peer" +
+      ".SyncReply\022M\n\007Acquire\022!.fuchsiastand.pee" +
+      "r.AcquireRequest\032\037.fuchsiastand.peer.Acq" +
+      "uireReply\022J\n\005Renew\022\035.fuchsiastand.peer.R" +
+      "enewBatch\032\".fuchsiastand.peer.RenewBatch" +
+      "Reply\022S\n\tSurrender\022#.fuchsiastand.peer.S" +
+      "urrenderRequest\032!.fuchsiastand.peer.Surr" +
+      "enderReply\022G\n\005Track\022\037.fuchsiastand.peer." +
+      "TrackRequest\032\035.fuchsiastand.peer.TrackRe" +
+      "plyB\'\n\030io.fuchsiastand.protocolB\tPeerPro" +
+      "toP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -248,7 +249,7 @@
     internal_static_fuchsiastand_peer_AcquireRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_fuchsiastand_peer_AcquireRequest_descriptor,
-        new java.lang.String[] { "From", "Shard", "Team", "Service", "ConfigurationVersion", "Batch", "RelayTo", });
+        new java.lang.String[] { "From", "Shard", "Team", "Service", "ConfigurationVersion", "Batch", "RelayTo", "Ahead", });
     internal_static_fuchsiastand_peer_AcquireReply_descriptor =
       getDescriptor().getMessageTypes().get(9);
     internal_static_fuchsiastand_peer_AcquireReply_fieldAccessorTable = new
--- /dev/null
+++ b/tools/src/test/java/io/fuchsiastand/tools/FuchsiactlTest.java
@@ -0,0 +1,161 @@
+package io.fuchsiastand.tools;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+import io.fuchsiastand.standin.MemoryObjectStore;
+import io.fuchsiastand.standin.PlatformServer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class FuchsiactlTest {
+
+    private static final String PLANS =
+            """
+            [services.menu]
+            [[services.menu.routes]]
+            path = "/menu"
+            [plans.gold.menu]
+            rate = 50
+            burst = 10
+            """;
+
+    @TempDir
+    private Path folder;
+
+    private final MemoryObjectStore objects = new MemoryObjectStore();
+    private final ByteArrayOutputStream out = new ByteArrayOutputStream();
+    private final ByteArrayOutputStream err = new ByteArrayOutputStream();
+    private PlatformServer platform;
+
+    @BeforeEach
+    void start() throws Exception {
+        platform = new PlatformServer("127.0.0.1", 0, objects);
+        write("teams.toml", "[teams.zermatt]\nplan = \"gold\"\n");
+        write("plans.toml", PLANS);
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        platform.close();
+    }
+
+    @Test
+    void appliesNumbersAndComparesTheLists() throws Exception {
+        assertThat(lists("apply")).isEqualTo(0);
+        assertThat(out()).contains("version 1 is accepted");
+        assertThat(lists("apply")).isEqualTo(0);
+        assertThat(out()).contains("nothing to change; version 1 stays in force");
+        write("plans.toml", PLANS.replace("rate = 50", "rate = 60"));
+        assertThat(lists("diff")).isEqualTo(0);
+        assertThat(out()).contains("~ plan gold");
+        assertThat(lists("apply")).isEqualTo(0);
+        assertThat(out()).contains("version 2 is accepted");
+    }
+
+    @Test
+    void tellsARacingOperatorOfTheConflictAndTheDifference() throws Exception {
+        lists("apply");
+        write("plans.toml", PLANS.replace("rate = 50", "rate = 60"));
+        assertThat(run(
+                        "apply",
+                        "--platform",
+                        address(),
+                        "--teams",
+                        file("teams.toml"),
+                        "--plans",
+                        file("plans.toml"),
+                        "--expect",
+                        "0"))
+                .isEqualTo(Fuchsiactl.EXIT_CONFLICT);
+        assertThat(err()).contains("FS-9004");
+        assertThat(err()).contains("~ plan gold");
+    }
+
+    @Test
+    void writesNothingIfAListIsWrong() throws Exception {
+        write("plans.toml", PLANS.replace("burst = 10", "burst = 0"));
+        assertThat(lists("apply")).isEqualTo(Fuchsiactl.EXIT_FAILURE);
+        assertThat(err()).contains("plans.toml:6: 'burst'");
+        assertThat(objects.list("").objects()).isEmpty();
+    }
+
+    @Test
+    void givesListsWithdrawsAndExplainsKeys() {
+        lists("apply");
+        assertThat(run("key", "give", "zermatt", "--platform", address())).isEqualTo(0);
+        String[] given = out().strip().split("\\s+");
+        String key = given[given.length - 1];
+        String id = given[1];
+        assertThat(new String(objects.list("keys/").objects().get(0).value(), StandardCharsets.UTF_8))
+                .doesNotContain(key);
+        run("explain", "POST", "/menu/x", "--key", key, "--platform", address());
+        assertThat(out()).contains("plan gold allows 50.0 a second, burst 10.0");
+        assertThat(run("key", "withdraw", id, "--platform", address())).isEqualTo(0);
+        run("key", "list", "--platform", address());
+        assertThat(out()).contains("withdrawn");
+        run("explain", "GET", "/menu/x", "--key", key, "--platform", address());
+        assertThat(out()).contains("FS-4010");
+    }
+
+    @Test
+    void refusesAKeyForAnUnknownTeam() {
+        lists("apply");
+        assertThat(run("key", "give", "nobody", "--platform", address())).isEqualTo(Fuchsiactl.EXIT_FAILURE);
+        assertThat(err()).contains("FS-9007");
+    }
+
+    @Test
+    void saysWhatIsWrongWithTheCommandLine() {
+        assertThat(run("dance")).isEqualTo(Fuchsiactl.EXIT_USAGE);
+        assertThat(err()).contains("FS-9008 no such command: dance");
+        assertThat(run("get")).isEqualTo(Fuchsiactl.EXIT_USAGE);
+        assertThat(run("get", "--platform", "nonsense")).isEqualTo(Fuchsiactl.EXIT_USAGE);
+        assertThat(run("--help")).isEqualTo(0);
+        assertThat(run("key", "give", "--help")).isEqualTo(0);
+    }
+
+    @Test
+    void printsJsonForPrograms() {
+        lists("apply");
+        run("get", "--platform", address(), "--output", "JSON");
+        assertThat(out()).contains("\"rate\" : 50.0");
+    }
+
+    private int lists(String command) {
+        return run(command, "--platform", address(), "--teams", file("teams.toml"), "--plans", file("plans.toml"));
+    }
+
+    private int run(String... args) {
+        out.reset();
+        err.reset();
+        return Fuchsiactl.run(args, new PrintStream(out, true), new PrintStream(err, true));
+    }
+
+    private String out() {
+        return out.toString(StandardCharsets.UTF_8);
+    }
+
+    private String err() {
+        return err.toString(StandardCharsets.UTF_8);
+    }
+
+    private String address() {
+        return "127.0.0.1:" + platform.port();
+    }
+
+    private String file(String name) {
+        return folder.resolve(name).toString();
+    }
+
+    private void write(String name, String text) throws Exception {
+        Files.writeString(folder.resolve(name), text);
+    }
+}
