--- a/bench/src/main/java/io/fuchsiastand/bench/Bench.java
+++ b/bench/src/main/java/io/fuchsiastand/bench/Bench.java
@@ -25,6 +25,8 @@
     enum Subject {
         /** Slopes of structures and steps. */
         CAPACITY,
+        /** The cost of one control call between daemons. */
+        PEER,
         /** Decisions under load and faults, on the virtual clock. */
         DECISIONS,
         /** Latency that daemons add; needs a running fleet, which bin/bench-load starts. */
@@ -84,6 +86,7 @@
                 save(r);
                 yield r.checks();
             }
+            case PEER -> List.of(CapacityBench.peer());
             case DECISIONS -> {
                 List<Check> checks = DecisionsBench.run(scale);
                 save(checks);
--- a/bench/src/main/java/io/fuchsiastand/bench/capacity/CapacityBench.java
+++ b/bench/src/main/java/io/fuchsiastand/bench/capacity/CapacityBench.java
@@ -44,6 +44,19 @@
         return new CapacityReport(rows, spread, checks);
     }
 
+    /**
+     * Measures the cost of one control call alone.
+     *
+     * @return the share of a core that decisions take at full size, against the budget
+     * @throws Exception if the loopback interface cannot be used
+     */
+    public static Check peer() throws Exception {
+        PeerCost.Cost cost = PeerCost.measure();
+        System.out.printf(Locale.ROOT, "%.0f ns, %.0f bytes%n", cost.cpuNanos(), cost.bytes());
+        double calls = Target.REQUESTS / (double) Target.DAEMONS;
+        return Check.atMost("decisions, share of a core", calls * cost.cpuNanos() / 1e9, Target.CORE_SHARE);
+    }
+
     private static List<CapacityReport.Spread> spread() {
         List<CapacityReport.Spread> out = new ArrayList<>();
         System.out.println("\n| daemons | loss | mean s | worst s | bytes a daemon | quiet bytes/s |");
--- a/bench/src/main/java/io/fuchsiastand/bench/decisions/RightsExploration.java
+++ b/bench/src/main/java/io/fuchsiastand/bench/decisions/RightsExploration.java
@@ -10,8 +10,10 @@
 import java.util.SplittableRandom;
 
 import io.fuchsiastand.limit.RightsTerms;
+import io.fuchsiastand.limit.SeizureProgress;
 import io.fuchsiastand.limit.ShardEntry;
 import io.fuchsiastand.limit.ShardRights;
+import io.fuchsiastand.limit.ShardRules;
 import io.fuchsiastand.limit.Share;
 import io.fuchsiastand.protocol.RenewReply;
 import io.fuchsiastand.protocol.RenewRequest;
@@ -33,6 +35,7 @@
     private static final String[] HOSTS = {"a", "b", "c"};
     private static final long MILLI = 1_000_000;
     private static final long TICK = 500 * MILLI;
+    private static final int SEIZURE_ODDS = 200;
     private static final long STEP = 100 * MILLI;
 
     private final SplittableRandom random;
@@ -43,6 +46,7 @@
     private final long[] clockOffsets = new long[HOSTS.length];
     private final boolean[][] cut = new boolean[HOSTS.length][HOSTS.length];
     private final boolean[] platformCut = new boolean[HOSTS.length];
+    private Process writer;
     private ShardEntry table = new ShardEntry(0, 1, "a", "b", false, List.of(), List.of());
     private long now;
     private long numbers;
@@ -84,6 +88,7 @@
         private long pausedUntil;
         private boolean awaitsPlatform;
         private boolean leaving;
+        private SeizureProgress seizure;
 
         private Process(int host, long start) {
             this.host = host;
@@ -139,6 +144,7 @@
             pollPlatform(p);
             long t = local(p);
             r.renew(t).ifPresent(q -> send(p, q));
+            pursueSeizure(p);
             if (!p.awaitsPlatform && (r.isClaimDue(t) || isRecruiting(r) || r.isSettlingDue(t))) {
                 write(p, r.beginClaim(chooseStandby(p), t));
             }
@@ -146,6 +152,53 @@
         });
     }
 
+    // Any daemon may think that the others are gone, rightly or not.
+    private void pursueSeizure(Process p) {
+        ShardEntry row = p.rights.entry();
+        if (p.awaitsPlatform || row.epoch() == 0) {
+            return;
+        }
+        String self = HOSTS[p.host];
+        if (!row.holder().equals(self) || row.unsettled().isEmpty()) {
+            if (!row.names(self) && random.nextInt(SEIZURE_ODDS) == 0) {
+                write(p, ShardRules.seizure(row, self));
+            }
+            return;
+        }
+        if (p.seizure == null || p.seizure.row().epoch() != row.epoch()) {
+            p.seizure = new SeizureProgress(row, TERMS, local(p));
+        }
+        for (String host : row.unsettled()) {
+            if (p.seizure.isAwaited(host)) {
+                askToSurrender(p, row, hostOf(host));
+            }
+        }
+        if (p.seizure.isSettled(local(p))) {
+            write(p, ShardRules.settlement(row));
+        }
+    }
+
+    private void askToSurrender(Process from, ShardEntry row, int to) {
+        if (cut[from.host][to] || lost()) {
+            return;
+        }
+        schedule(now + delay(), () -> {
+            Process p = processes[to];
+            whenRunning(p, () -> {
+                p.rights.learn(row, local(p));
+                if (!cut[to][from.host] && !lost()) {
+                    schedule(
+                            now + delay(),
+                            () -> whenRunning(from, () -> {
+                                if (from.seizure != null && from.seizure.row().equals(row)) {
+                                    from.seizure.surrender(HOSTS[to], local(from));
+                                }
+                            }));
+                }
+            });
+        });
+    }
+
     private boolean isRecruiting(ShardRights r) {
         return r.isSole() && random.nextInt(4) == 0;
     }
@@ -174,6 +227,7 @@
 
     private void write(Process p, ShardEntry row) {
         p.awaitsPlatform = true;
+        long asked = local(p);
         boolean arrives = !platformCut[p.host] && !lost();
         if (arrives) {
             // The write may take effect long after its writer has died.
@@ -184,26 +238,35 @@
                 boolean written = table.epoch() + 1 == row.epoch();
                 if (written) {
                     table = row;
+                    writer = p;
                 }
                 if (!lost()) {
-                    schedule(now + delay(), () -> resolve(p, row));
+                    schedule(now + delay(), () -> resolve(p, row, asked));
                 }
             });
         }
-        schedule(now + Duration.ofSeconds(60).toNanos(), () -> resolve(p, row));
+        schedule(now + Duration.ofSeconds(60).toNanos(), () -> resolve(p, row, asked));
     }
 
     // Reads the row back until the platform answers, as the platform client does.
-    private void resolve(Process p, ShardEntry row) {
+    private void resolve(Process p, ShardEntry row, long asked) {
         whenRunning(p, () -> {
             if (!p.awaitsPlatform || platformCut[p.host]) {
                 if (p.awaitsPlatform) {
-                    schedule(now + TICK, () -> resolve(p, row));
+                    schedule(now + TICK, () -> resolve(p, row, asked));
                 }
                 return;
             }
             p.awaitsPlatform = false;
-            if (table.equals(row)) {
+            // A row of an earlier process of the host may be equal to this one but for its writer.
+            if (table.equals(row) && writer == p && !row.unsettled().isEmpty()) {
+                p.rights.learn(row, local(p));
+            } else if (table.equals(row)
+                    && writer == p
+                    && p.seizure != null
+                    && p.seizure.row().epoch() == p.rights.entry().epoch()) {
+                p.rights.settled(row, asked, local(p));
+            } else if (table.equals(row) && writer == p) {
                 p.rights.claimed(row, local(p));
             } else if (table.epoch() >= row.epoch()) {
                 p.rights.learn(table, local(p));
--- a/core/src/main/java/io/fuchsiastand/limit/RightsState.java
+++ b/core/src/main/java/io/fuchsiastand/limit/RightsState.java
@@ -79,7 +79,7 @@
      * @return true if it is the holder and has no standby
      */
     public boolean isSole() {
-        return isHolder() && entry.standby().isEmpty();
+        return isHolder() && entry.standby().isEmpty() && entry.unsettled().isEmpty();
     }
 
     void confirmBy(long ageMillis, long notAfter) {
--- a/core/src/main/java/io/fuchsiastand/limit/ShardRights.java
+++ b/core/src/main/java/io/fuchsiastand/limit/ShardRights.java
@@ -76,7 +76,7 @@
      * @return true if the partner is silent or gone
      */
     public boolean isClaimDue(long now) {
-        if (released || !entry.names(self)) {
+        if (released || !entry.names(self) || !entry.unsettled().isEmpty()) {
             return false;
         }
         if (claiming) {
--- a/daemon/src/main/java/io/fuchsiastand/daemon/LimitController.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/LimitController.java
@@ -27,6 +27,7 @@
 import io.fuchsiastand.protocol.RenewBatchReply;
 import io.fuchsiastand.protocol.RenewReply;
 import io.fuchsiastand.protocol.RenewRequest;
+import io.fuchsiastand.protocol.SurrenderReply;
 import io.fuchsiastand.protocol.SurrenderRequest;
 import org.tinylog.Logger;
 
@@ -214,23 +215,57 @@
      * @return true, as no right of an earlier epoch is left
      */
     public boolean onSurrender(SurrenderRequest request) {
-        ShardEntry row = new ShardEntry(
+        // The whole row, so that a later takeover by this daemon does not forget any host.
+        remember(new ShardEntry(
                 request.getShard(),
                 request.getEpoch(),
-                "",
+                request.getHolder(),
                 "",
                 true,
                 List.of(),
-                List.of(board.settings().host()));
-        Shard s = shards.get(request.getShard());
-        if (s != null) {
-            synchronized (s) {
-                s.rights.learn(row, board.clock().nanoTime());
-            }
-        }
+                request.getUnsettledList()));
         return true;
     }
 
+    /**
+     * Asks a host to give up its rights of earlier epochs.
+     *
+     * @param host the host
+     * @param row the row of the new epoch
+     * @return whether it has; false if it cannot be reached
+     */
+    public CompletableFuture<Boolean> askToSurrender(String host, ShardEntry row) {
+        SurrenderRequest request = SurrenderRequest.newBuilder()
+                .setShard(row.shard())
+                .setEpoch(row.epoch())
+                .setHolder(row.holder())
+                .addAllUnsettled(row.unsettled())
+                .build();
+        if (host.equals(board.settings().host())) {
+            return CompletableFuture.completedFuture(onSurrender(request));
+        }
+        Member m = board.members().find(host).filter(Member::isReachable).orElse(null);
+        if (m == null) {
+            return CompletableFuture.completedFuture(false);
+        }
+        return peers.<SurrenderReply>call(m, RENEW_TIMEOUT, (stub, o) -> stub.surrender(request, o))
+                .handle((r, e) -> e == null && r.getSurrendered());
+    }
+
+    /**
+     * Takes all rights on a shard that were settled.
+     *
+     * @param row the row, with this daemon as holder
+     * @param askedAt when the platform was asked to write it, in nanoseconds
+     */
+    public void settle(ShardEntry row, long askedAt) {
+        Shard s = part(row.shard());
+        synchronized (s) {
+            s.rights.settled(row, askedAt, board.clock().nanoTime());
+        }
+        remember(row);
+    }
+
     /**
      * Hands over all rights before this daemon leaves.
      *
--- a/daemon/src/main/java/io/fuchsiastand/daemon/PlatformController.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/PlatformController.java
@@ -38,7 +38,8 @@
 
     private static final int RELAYS = 2;
     private static final Duration IDLE = Duration.ofMillis(500);
-    private static final List<String> PREFIXES = List.of("config/", KeyBucket.PREFIX, ShardEntry.PREFIX);
+    private static final List<String> PREFIXES =
+            List.of("config/", KeyBucket.PREFIX, ShardEntry.PREFIX, ShardSeizure.GONE);
 
     private final Blackboard board;
     private final ObjectStore store;
--- a/daemon/src/main/java/io/fuchsiastand/daemon/ShardTableWriter.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/ShardTableWriter.java
@@ -35,6 +35,8 @@
     private final ObjectStore store;
     private final Map<Integer, Write> open = new HashMap<>();
 
+    private final ShardSeizure seizure;
+
     private record Write(ShardEntry row, long expected, String changeId) {}
 
     /**
@@ -45,6 +47,7 @@
      * @param store the platform
      */
     public ShardTableWriter(Blackboard board, LimitController limits, ObjectStore store) {
+        seizure = new ShardSeizure(board, limits, store);
         this.board = board;
         this.limits = limits;
         this.store = store;
@@ -71,6 +74,7 @@
 
     /** Does what is due. */
     public void tick() {
+        seizure.tick();
         int budget = MOST_ROWS_PER_TICK;
         for (Map.Entry<Integer, LimitController.Shard> e : limits.shards().entrySet()) {
             if (budget == 0) {
--- a/daemon/src/main/java/io/fuchsiastand/daemon/Transport.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/Transport.java
@@ -4,6 +4,7 @@
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -21,7 +22,9 @@
 import io.grpc.netty.NettyChannelBuilder;
 import io.grpc.netty.NettyServerBuilder;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.channel.epoll.EpollEventLoopGroup;
+import io.netty.channel.epoll.EpollServerSocketChannel;
+import io.netty.channel.epoll.EpollSocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.ssl.ClientAuth;
@@ -43,6 +46,7 @@
 import io.servicetalk.transport.api.ServerContext;
 import io.servicetalk.transport.api.ServerSslConfigBuilder;
 import io.servicetalk.transport.api.SslClientAuthMode;
+import io.servicetalk.transport.netty.internal.EventLoopAwareNettyIoExecutors;
 import io.servicetalk.transport.netty.internal.NettyIoExecutors;
 
 /** Makes the servers and clients of a daemon, with few threads and, between daemons, mutual TLS. */
@@ -56,7 +60,10 @@
     private static final Executor DIRECT = Runnable::run;
 
     private final IoExecutor io;
-    private final EventLoopGroup peerLoop = new NioEventLoopGroup(1);
+    // Control traffic shares the threads of the data path, so that a decision about a request costs no switch of
+    // threads.
+    private final EventLoopGroup loops;
+    private final boolean epoll;
     private final Optional<Settings.Tls> tls;
 
     /**
@@ -68,6 +75,9 @@
         this.tls = tls;
         int threads = Math.max(1, Math.min(MOST_IO_THREADS, Runtime.getRuntime().availableProcessors() / 2));
         io = NettyIoExecutors.createIoExecutor(threads, "io");
+        loops = EventLoopAwareNettyIoExecutors.toEventLoopAwareNettyIoExecutor(io)
+                .eventLoopGroup();
+        epoll = loops instanceof EpollEventLoopGroup;
     }
 
     /**
@@ -97,6 +107,21 @@
         return listen(b, port, service);
     }
 
+    /**
+     * Starts a server without TLS on any port of the loopback address.
+     *
+     * @param service handles requests
+     * @return the running server
+     */
+    ServerContext plainServer(StreamingHttpService service) {
+        return listen(
+                HttpServers.forAddress(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
+                        .ioExecutor(io)
+                        .executionStrategy(HttpExecutionStrategies.offloadNone()),
+                0,
+                service);
+    }
+
     /**
      * Starts the admin server.
      *
@@ -123,9 +148,9 @@
      */
     public Server peerServer(int port, BindableService service) {
         NettyServerBuilder b = NettyServerBuilder.forAddress(new InetSocketAddress(port))
-                .bossEventLoopGroup(peerLoop)
-                .workerEventLoopGroup(peerLoop)
-                .channelType(NioServerSocketChannel.class)
+                .bossEventLoopGroup(loops)
+                .workerEventLoopGroup(loops)
+                .channelType(epoll ? EpollServerSocketChannel.class : NioServerSocketChannel.class)
                 .maxInboundMessageSize(MOST_PEER_MESSAGE)
                 .executor(DIRECT)
                 .addService(service);
@@ -154,8 +179,8 @@
      */
     public ManagedChannel peerChannel(String address, int port) {
         NettyChannelBuilder b = NettyChannelBuilder.forAddress(new InetSocketAddress(address, port))
-                .eventLoopGroup(peerLoop)
-                .channelType(NioSocketChannel.class)
+                .eventLoopGroup(loops)
+                .channelType(epoll ? EpollSocketChannel.class : NioSocketChannel.class)
                 .executor(DIRECT)
                 .maxInboundMessageSize(MOST_PEER_MESSAGE)
                 .idleTimeout(PEER_IDLE.toMinutes(), TimeUnit.MINUTES);
@@ -193,7 +218,6 @@
 
     @Override
     public void close() {
-        peerLoop.shutdownGracefully(0, 1, TimeUnit.SECONDS);
         io.closeAsync().subscribe();
     }
 
--- /dev/null
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/TransportTest.java
@@ -0,0 +1,103 @@
+package io.fuchsiastand.daemon;
+
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.ExecutionException;
+
+import io.fuchsiastand.protocol.PeerGrpc;
+import io.fuchsiastand.protocol.ProbeReply;
+import io.fuchsiastand.protocol.ProbeRequest;
+import io.grpc.Server;
+import io.grpc.stub.StreamObserver;
+import io.servicetalk.http.api.StreamingHttpClient;
+import io.servicetalk.transport.api.ServerContext;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import static com.google.common.truth.Truth.assertThat;
+import static io.servicetalk.concurrent.api.Single.succeeded;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+/** Peer and data ports let only daemons in that have a certificate of the authority. */
+class TransportTest {
+
+    private static final String LOOPBACK = "127.0.0.1";
+    private static final Duration PATIENCE = Duration.ofSeconds(10);
+
+    @TempDir
+    private Path folder;
+
+    private Transport host;
+    private Transport stranger;
+    private Transport plain;
+
+    @BeforeEach
+    void start() throws Exception {
+        Certificates.make(folder, "host");
+        Certificates.make(folder, "stranger");
+        host = new Transport(Optional.of(tls("host", "host")));
+        // The stranger trusts the host, but the host does not know the stranger.
+        stranger = new Transport(Optional.of(tls("stranger", "host")));
+        plain = new Transport(Optional.empty());
+    }
+
+    @AfterEach
+    void stop() {
+        host.close();
+        stranger.close();
+        plain.close();
+    }
+
+    @Test
+    void answersControlTrafficOfKnownDaemonsOnly() throws Exception {
+        Server server = host.peerServer(0, new PeerGrpc.PeerImplBase() {
+            @Override
+            public void probe(ProbeRequest request, StreamObserver<ProbeReply> out) {
+                out.onNext(ProbeReply.newBuilder().setAcknowledged(true).build());
+                out.onCompleted();
+            }
+        });
+        assertThat(probe(host, server.getPort()).getAcknowledged()).isTrue();
+        assertThrows(ExecutionException.class, () -> probe(stranger, server.getPort()));
+        assertThrows(ExecutionException.class, () -> probe(plain, server.getPort()));
+        server.shutdownNow();
+    }
+
+    @Test
+    void takesForwardedCallsOfKnownDaemonsOnly() throws Exception {
+        try (ServerContext server = host.dataServer(0, (c, r, f) -> succeeded(f.ok()))) {
+            int port = ((InetSocketAddress) server.listenAddress()).getPort();
+            assertThat(get(host, port)).isEqualTo(200);
+            assertThrows(ExecutionException.class, () -> get(stranger, port));
+            assertThrows(ExecutionException.class, () -> get(plain, port));
+        }
+    }
+
+    private static ProbeReply probe(Transport from, int port) throws Exception {
+        try (Peers peers = new Peers(from)) {
+            return peers.<ProbeReply>call(
+                            LOOPBACK, port, PATIENCE, (stub, o) -> stub.probe(ProbeRequest.getDefaultInstance(), o))
+                    .get();
+        }
+    }
+
+    private static int get(Transport from, int port) throws Exception {
+        try (StreamingHttpClient client = from.dataClient(LOOPBACK, port)) {
+            return client.request(client.get("/").setHeader("host", LOOPBACK))
+                    .timeout(PATIENCE)
+                    .toFuture()
+                    .get()
+                    .status()
+                    .code();
+        }
+    }
+
+    private Settings.Tls tls(String own, String authority) {
+        return new Settings.Tls(
+                folder.resolve(own + ".pem"), folder.resolve(own + ".key"), folder.resolve(authority + ".pem"));
+    }
+}
--- a/protocol/src/main/java/io/fuchsiastand/protocol/PeerProto.java
+++ b/protocol/src/main/java/io/fuchsiastand/protocol/PeerProto.java
@@ -160,37 +160,37 @@
       "_half\030\007 \001(\010\022\037\n\027confirmation_age_millis\030\010" +
       " \001(\003\022\020\n\010verified\030\t \001(\010\"P\n\017RenewBatchRepl" +
       "y\022\r\n\005start\030\001 \001(\004\022.\n\007replies\030\002 \003(\0132\035.fuch" +
-      "siastand.peer.RenewReply\"Q\n\020SurrenderReq" +
+      "siastand.peer.RenewReply\"S\n\020SurrenderReq" +
       "uest\022\r\n\005shard\030\001 \001(\005\022\r\n\005epoch\030\002 \001(\004\022\016\n\006ho" +
-      "lder\030\003 \001(\t\022\017\n\007standby\030\004 \001(\t\"%\n\016Surrender" +
-      "Reply\022\023\n\013surrendered\030\001 \001(\010\"\233\001\n\014TrackRequ" +
-      "est\022\014\n\004from\030\001 \001(\t\022\r\n\005shard\030\002 \001(\005\022\014\n\004team" +
-      "\030\003 \001(\t\022\022\n\nkey_digest\030\004 \001(\014\022,\n\005phase\030\005 \001(" +
-      "\0162\035.fuchsiastand.peer.TrackPhase\022\r\n\005epoc" +
-      "h\030\006 \001(\004\022\017\n\007attempt\030\007 \001(\004\"<\n\nTrackReply\022." +
-      "\n\006result\030\001 \001(\0162\036.fuchsiastand.peer.Track" +
-      "Result*9\n\013MemberState\022\t\n\005ALIVE\020\000\022\013\n\007SUSP" +
-      "ECT\020\001\022\010\n\004DEAD\020\002\022\010\n\004LEFT\020\003*I\n\rAcquireResu" +
-      "lt\022\013\n\007GRANTED\020\000\022\r\n\tOVER_RATE\020\001\022\016\n\nNOT_HO" +
-      "LDER\020\002\022\014\n\010NO_RIGHT\020\003*t\n\nTrackPhase\022\t\n\005BE" +
-      "GIN\020\000\022\007\n\003END\020\001\022\016\n\nCOPY_BEGIN\020\002\022\014\n\010COPY_E" +
-      "ND\020\003\022\n\n\006CANCEL\020\004\022\017\n\013COPY_CANCEL\020\005\022\010\n\004LOS" +
-      "E\020\006\022\r\n\tCOPY_LOSE\020\007*N\n\013TrackResult\022\013\n\007STA" +
-      "RTED\020\000\022\013\n\007RUNNING\020\001\022\007\n\003RAN\020\002\022\013\n\007UNKNOWN\020" +
-      "\003\022\017\n\013UNAVAILABLE\020\0042\316\003\n\004Peer\022G\n\005Probe\022\037.f" +
-      "uchsiastand.peer.ProbeRequest\032\035.fuchsias" +
-      "tand.peer.ProbeReply\022D\n\004Sync\022\036.fuchsiast" +
-      "and.peer.SyncRequest\032\034.fuchsiastand.peer" +
-      ".SyncReply\022M\n\007Acquire\022!.fuchsiastand.pee" +
-      "r.AcquireRequest\032\037.fuchsiastand.peer.Acq" +
-      "uireReply\022J\n\005Renew\022\035.fuchsiastand.peer.R" +
-      "enewBatch\032\".fuchsiastand.peer.RenewBatch" +
-      "Reply\022S\n\tSurrender\022#.fuchsiastand.peer.S" +
-      "urrenderRequest\032!.fuchsiastand.peer.Surr" +
-      "enderReply\022G\n\005Track\022\037.fuchsiastand.peer." +
-      "TrackRequest\032\035.fuchsiastand.peer.TrackRe" +
-      "plyB\'\n\030io.fuchsiastand.protocolB\tPeerPro" +
-      "toP\001b\006proto3"
+      "lder\030\003 \001(\t\022\021\n\tunsettled\030\004 \003(\t\"%\n\016Surrend" +
+      "erReply\022\023\n\013surrendered\030\001 \001(\010\"\233\001\n\014TrackRe" +
+      "quest\022\014\n\004from\030\001 \001(\t\022\r\n\005shard\030\002 \001(\005\022\014\n\004te" +
+      "am\030\003 \001(\t\022\022\n\nkey_digest\030\004 \001(\014\022,\n\005phase\030\005 " +
+      "\001(\0162\035.fuchsiastand.peer.TrackPhase\022\r\n\005ep" +
+      "och\030\006 \001(\004\022\017\n\007attempt\030\007 \001(\004\"<\n\nTrackReply" +
+      "\022.\n\006result\030\001 \001(\0162\036.fuchsiastand.peer.Tra" +
+      "ckResult*9\n\013MemberState\022\t\n\005ALIVE\020\000\022\013\n\007SU" +
+      "SPECT\020\001\022\010\n\004DEAD\020\002\022\010\n\004LEFT\020\003*I\n\rAcquireRe" +
+      "sult\022\013\n\007GRANTED\020\000\022\r\n\tOVER_RATE\020\001\022\016\n\nNOT_" +
+      "HOLDER\020\002\022\014\n\010NO_RIGHT\020\003*t\n\nTrackPhase\022\t\n\005" +
+      "BEGIN\020\000\022\007\n\003END\020\001\022\016\n\nCOPY_BEGIN\020\002\022\014\n\010COPY" +
+      "_END\020\003\022\n\n\006CANCEL\020\004\022\017\n\013COPY_CANCEL\020\005\022\010\n\004L" +
+      "OSE\020\006\022\r\n\tCOPY_LOSE\020\007*N\n\013TrackResult\022\013\n\007S" +
+      "TARTED\020\000\022\013\n\007RUNNING\020\001\022\007\n\003RAN\020\002\022\013\n\007UNKNOW" +
+      "N\020\003\022\017\n\013UNAVAILABLE\020\0042\316\003\n\004Peer\022G\n\005Probe\022\037" +
+      ".fuchsiastand.peer.ProbeRequest\032\035.fuchsi" +
+      "astand.peer.ProbeReply\022D\n\004Sync\022\036.fuchsia" +
+      "stand.peer.SyncRequest\032\034.fuchsiastand.pe" +
+      "er.SyncReply\022M\n\007Acquire\022!.fuchsiastand.p" +
+      "eer.AcquireRequest\032\037.fuchsiastand.peer.A" +
+      "cquireReply\022J\n\005Renew\022\035.fuchsiastand.peer" +
+      ".RenewBatch\032\".fuchsiastand.peer.RenewBat" +
+      "chReply\022S\n\tSurrender\022#.fuchsiastand.peer" +
+      ".SurrenderRequest\032!.fuchsiastand.peer.Su" +
+      "rrenderReply\022G\n\005Track\022\037.fuchsiastand.pee" +
+      "r.TrackRequest\032\035.fuchsiastand.peer.Track" +
+      "ReplyB\'\n\030io.fuchsiastand.protocolB\tPeerP" +
+      "rotoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -285,7 +285,7 @@
     internal_static_fuchsiastand_peer_SurrenderRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_fuchsiastand_peer_SurrenderRequest_descriptor,
-        new java.lang.String[] { "Shard", "Epoch", "Holder", "Standby", });
+        new java.lang.String[] { "Shard", "Epoch", "Holder", "Unsettled", });
     internal_static_fuchsiastand_peer_SurrenderReply_descriptor =
       getDescriptor().getMessageTypes().get(15);
     internal_static_fuchsiastand_peer_SurrenderReply_fieldAccessorTable = new
--- a/protocol/src/main/java/io/fuchsiastand/protocol/SurrenderRequest.java
+++ b/protocol/src/main/java/io/fuchsiastand/protocol/SurrenderRequest.java
@@ -22,7 +22,8 @@
   }
   private SurrenderRequest() {
     holder_ = "";
-    standby_ = "";
+    unsettled_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
   }
 
   @java.lang.Override
@@ -71,6 +72,10 @@
   @SuppressWarnings("serial")
   private volatile java.lang.Object holder_ = "";
   /**
+   * <pre>
+   * The daemon that takes over.
+   * </pre>
+   *
    * <code>string holder = 3;</code>
    * @return The holder.
    */
@@ -88,6 +93,10 @@
     }
   }
   /**
+   * <pre>
+   * The daemon that takes over.
+   * </pre>
+   *
    * <code>string holder = 3;</code>
    * @return The bytes for holder.
    */
@@ -106,43 +115,57 @@
     }
   }
 
-  public static final int STANDBY_FIELD_NUMBER = 4;
+  public static final int UNSETTLED_FIELD_NUMBER = 4;
   @SuppressWarnings("serial")
-  private volatile java.lang.Object standby_ = "";
+  private com.google.protobuf.LazyStringArrayList unsettled_ =
+      com.google.protobuf.LazyStringArrayList.emptyList();
   /**
-   * <code>string standby = 4;</code>
-   * @return The standby.
+   * <pre>
+   * The hosts that may hold rights of earlier epochs.
+   * </pre>
+   *
+   * <code>repeated string unsettled = 4;</code>
+   * @return A list containing the unsettled.
    */
-  @java.lang.Override
-  public java.lang.String getStandby() {
-    java.lang.Object ref = standby_;
-    if (ref instanceof java.lang.String) {
-      return (java.lang.String) ref;
-    } else {
-      com.google.protobuf.ByteString bs = 
-          (com.google.protobuf.ByteString) ref;
-      java.lang.String s = bs.toStringUtf8();
-      standby_ = s;
-      return s;
-    }
+  public com.google.protobuf.ProtocolStringList
+      getUnsettledList() {
+    return unsettled_;
+  }
+  /**
+   * <pre>
+   * The hosts that may hold rights of earlier epochs.
+   * </pre>
+   *
+   * <code>repeated string unsettled = 4;</code>
+   * @return The count of unsettled.
+   */
+  public int getUnsettledCount() {
+    return unsettled_.size();
   }
   /**
-   * <code>string standby = 4;</code>
-   * @return The bytes for standby.
+   * <pre>
+   * The hosts that may hold rights of earlier epochs.
+   * </pre>
+   *
+   * <code>repeated string unsettled = 4;</code>
+   * @param index The index of the element to return.
+   * @return The unsettled at the given index.
+   */
+  public java.lang.String getUnsettled(int index) {
+    return unsettled_.get(index);
+  }
+  /**
+   * <pre>
+   * The hosts that may hold rights of earlier epochs.
+   * </pre>
+   *
+   * <code>repeated string unsettled = 4;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the unsettled at the given index.
    */
-  @java.lang.Override
   public com.google.protobuf.ByteString
-      getStandbyBytes() {
-    java.lang.Object ref = standby_;
-    if (ref instanceof java.lang.String) {
-      com.google.protobuf.ByteString b = 
-          com.google.protobuf.ByteString.copyFromUtf8(
-              (java.lang.String) ref);
-      standby_ = b;
-      return b;
-    } else {
-      return (com.google.protobuf.ByteString) ref;
-    }
+      getUnsettledBytes(int index) {
+    return unsettled_.getByteString(index);
   }
 
   private byte memoizedIsInitialized = -1;
@@ -168,8 +191,8 @@
     if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(holder_)) {
       com.google.protobuf.GeneratedMessageV3.writeString(output, 3, holder_);
     }
-    if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(standby_)) {
-      com.google.protobuf.GeneratedMessageV3.writeString(output, 4, standby_);
+    for (int i = 0; i < unsettled_.size(); i++) {
+      com.google.protobuf.GeneratedMessageV3.writeString(output, 4, unsettled_.getRaw(i));
     }
     getUnknownFields().writeTo(output);
   }
@@ -191,8 +214,13 @@
     if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(holder_)) {
       size += com.google.protobuf.GeneratedMessageV3.computeStringSize(3, holder_);
     }
-    if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(standby_)) {
-      size += com.google.protobuf.GeneratedMessageV3.computeStringSize(4, standby_);
+    {
+      int dataSize = 0;
+      for (int i = 0; i < unsettled_.size(); i++) {
+        dataSize += computeStringSizeNoTag(unsettled_.getRaw(i));
+      }
+      size += dataSize;
+      size += 1 * getUnsettledList().size();
     }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
@@ -215,8 +243,8 @@
         != other.getEpoch()) return false;
     if (!getHolder()
         .equals(other.getHolder())) return false;
-    if (!getStandby()
-        .equals(other.getStandby())) return false;
+    if (!getUnsettledList()
+        .equals(other.getUnsettledList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -235,8 +263,10 @@
         getEpoch());
     hash = (37 * hash) + HOLDER_FIELD_NUMBER;
     hash = (53 * hash) + getHolder().hashCode();
-    hash = (37 * hash) + STANDBY_FIELD_NUMBER;
-    hash = (53 * hash) + getStandby().hashCode();
+    if (getUnsettledCount() > 0) {
+      hash = (37 * hash) + UNSETTLED_FIELD_NUMBER;
+      hash = (53 * hash) + getUnsettledList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -375,7 +405,8 @@
       shard_ = 0;
       epoch_ = 0L;
       holder_ = "";
-      standby_ = "";
+      unsettled_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
       return this;
     }
 
@@ -419,7 +450,8 @@
         result.holder_ = holder_;
       }
       if (((from_bitField0_ & 0x00000008) != 0)) {
-        result.standby_ = standby_;
+        unsettled_.makeImmutable();
+        result.unsettled_ = unsettled_;
       }
     }
 
@@ -478,9 +510,14 @@
         bitField0_ |= 0x00000004;
         onChanged();
       }
-      if (!other.getStandby().isEmpty()) {
-        standby_ = other.standby_;
-        bitField0_ |= 0x00000008;
+      if (!other.unsettled_.isEmpty()) {
+        if (unsettled_.isEmpty()) {
+          unsettled_ = other.unsettled_;
+          bitField0_ |= 0x00000008;
+        } else {
+          ensureUnsettledIsMutable();
+          unsettled_.addAll(other.unsettled_);
+        }
         onChanged();
       }
       this.mergeUnknownFields(other.getUnknownFields());
@@ -525,8 +562,9 @@
               break;
             } // case 26
             case 34: {
-              standby_ = input.readStringRequireUtf8();
-              bitField0_ |= 0x00000008;
+              java.lang.String s = input.readStringRequireUtf8();
+              ensureUnsettledIsMutable();
+              unsettled_.add(s);
               break;
             } // case 34
             default: {
@@ -612,6 +650,10 @@
 
     private java.lang.Object holder_ = "";
     /**
+     * <pre>
+     * The daemon that takes over.
+     * </pre>
+     *
      * <code>string holder = 3;</code>
      * @return The holder.
      */
@@ -628,6 +670,10 @@
       }
     }
     /**
+     * <pre>
+     * The daemon that takes over.
+     * </pre>
+     *
      * <code>string holder = 3;</code>
      * @return The bytes for holder.
      */
@@ -645,6 +691,10 @@
       }
     }
     /**
+     * <pre>
+     * The daemon that takes over.
+     * </pre>
+     *
      * <code>string holder = 3;</code>
      * @param value The holder to set.
      * @return This builder for chaining.
@@ -658,6 +708,10 @@
       return this;
     }
     /**
+     * <pre>
+     * The daemon that takes over.
+     * </pre>
+     *
      * <code>string holder = 3;</code>
      * @return This builder for chaining.
      */
@@ -668,6 +722,10 @@
       return this;
     }
     /**
+     * <pre>
+     * The daemon that takes over.
+     * </pre>
+     *
      * <code>string holder = 3;</code>
      * @param value The bytes for holder to set.
      * @return This builder for chaining.
@@ -682,73 +740,148 @@
       return this;
     }
 
-    private java.lang.Object standby_ = "";
+    private com.google.protobuf.LazyStringArrayList unsettled_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    private void ensureUnsettledIsMutable() {
+      if (!unsettled_.isModifiable()) {
+        unsettled_ = new com.google.protobuf.LazyStringArrayList(unsettled_);
+      }
+      bitField0_ |= 0x00000008;
+    }
     /**
-     * <code>string standby = 4;</code>
-     * @return The standby.
+     * <pre>
+     * The hosts that may hold rights of earlier epochs.
+     * </pre>
+     *
+     * <code>repeated string unsettled = 4;</code>
+     * @return A list containing the unsettled.
      */
-    public java.lang.String getStandby() {
-      java.lang.Object ref = standby_;
-      if (!(ref instanceof java.lang.String)) {
-        com.google.protobuf.ByteString bs =
-            (com.google.protobuf.ByteString) ref;
-        java.lang.String s = bs.toStringUtf8();
-        standby_ = s;
-        return s;
-      } else {
-        return (java.lang.String) ref;
-      }
+    public com.google.protobuf.ProtocolStringList
+        getUnsettledList() {
+      unsettled_.makeImmutable();
+      return unsettled_;
+    }
+    /**
+     * <pre>
+     * The hosts that may hold rights of earlier epochs.
+     * </pre>
+     *
+     * <code>repeated string unsettled = 4;</code>
+     * @return The count of unsettled.
+     */
+    public int getUnsettledCount() {
+      return unsettled_.size();
     }
     /**
-     * <code>string standby = 4;</code>
-     * @return The bytes for standby.
+     * <pre>
+     * The hosts that may hold rights of earlier epochs.
+     * </pre>
+     *
+     * <code>repeated string unsettled = 4;</code>
+     * @param index The index of the element to return.
+     * @return The unsettled at the given index.
+     */
+    public java.lang.String getUnsettled(int index) {
+      return unsettled_.get(index);
+    }
+    /**
+     * <pre>
+     * The hosts that may hold rights of earlier epochs.
+     * </pre>
+     *
+     * <code>repeated string unsettled = 4;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the unsettled at the given index.
      */
     public com.google.protobuf.ByteString
-        getStandbyBytes() {
-      java.lang.Object ref = standby_;
-      if (ref instanceof String) {
-        com.google.protobuf.ByteString b = 
-            com.google.protobuf.ByteString.copyFromUtf8(
-                (java.lang.String) ref);
-        standby_ = b;
-        return b;
-      } else {
-        return (com.google.protobuf.ByteString) ref;
-      }
+        getUnsettledBytes(int index) {
+      return unsettled_.getByteString(index);
     }
     /**
-     * <code>string standby = 4;</code>
-     * @param value The standby to set.
+     * <pre>
+     * The hosts that may hold rights of earlier epochs.
+     * </pre>
+     *
+     * <code>repeated string unsettled = 4;</code>
+     * @param index The index to set the value at.
+     * @param value The unsettled to set.
      * @return This builder for chaining.
      */
-    public Builder setStandby(
+    public Builder setUnsettled(
+        int index, java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      ensureUnsettledIsMutable();
+      unsettled_.set(index, value);
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The hosts that may hold rights of earlier epochs.
+     * </pre>
+     *
+     * <code>repeated string unsettled = 4;</code>
+     * @param value The unsettled to add.
+     * @return This builder for chaining.
+     */
+    public Builder addUnsettled(
         java.lang.String value) {
       if (value == null) { throw new NullPointerException(); }
-      standby_ = value;
+      ensureUnsettledIsMutable();
+      unsettled_.add(value);
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The hosts that may hold rights of earlier epochs.
+     * </pre>
+     *
+     * <code>repeated string unsettled = 4;</code>
+     * @param values The unsettled to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllUnsettled(
+        java.lang.Iterable<java.lang.String> values) {
+      ensureUnsettledIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, unsettled_);
       bitField0_ |= 0x00000008;
       onChanged();
       return this;
     }
     /**
-     * <code>string standby = 4;</code>
+     * <pre>
+     * The hosts that may hold rights of earlier epochs.
+     * </pre>
+     *
+     * <code>repeated string unsettled = 4;</code>
      * @return This builder for chaining.
      */
-    public Builder clearStandby() {
-      standby_ = getDefaultInstance().getStandby();
-      bitField0_ = (bitField0_ & ~0x00000008);
+    public Builder clearUnsettled() {
+      unsettled_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+      bitField0_ = (bitField0_ & ~0x00000008);;
       onChanged();
       return this;
     }
     /**
-     * <code>string standby = 4;</code>
-     * @param value The bytes for standby to set.
+     * <pre>
+     * The hosts that may hold rights of earlier epochs.
+     * </pre>
+     *
+     * <code>repeated string unsettled = 4;</code>
+     * @param value The bytes of the unsettled to add.
      * @return This builder for chaining.
      */
-    public Builder setStandbyBytes(
+    public Builder addUnsettledBytes(
         com.google.protobuf.ByteString value) {
       if (value == null) { throw new NullPointerException(); }
       checkByteStringIsUtf8(value);
-      standby_ = value;
+      ensureUnsettledIsMutable();
+      unsettled_.add(value);
       bitField0_ |= 0x00000008;
       onChanged();
       return this;
--- a/protocol/src/main/java/io/fuchsiastand/protocol/SurrenderRequestOrBuilder.java
+++ b/protocol/src/main/java/io/fuchsiastand/protocol/SurrenderRequestOrBuilder.java
@@ -21,11 +21,19 @@
   long getEpoch();
 
   /**
+   * <pre>
+   * The daemon that takes over.
+   * </pre>
+   *
    * <code>string holder = 3;</code>
    * @return The holder.
    */
   java.lang.String getHolder();
   /**
+   * <pre>
+   * The daemon that takes over.
+   * </pre>
+   *
    * <code>string holder = 3;</code>
    * @return The bytes for holder.
    */
@@ -33,14 +41,43 @@
       getHolderBytes();
 
   /**
-   * <code>string standby = 4;</code>
-   * @return The standby.
+   * <pre>
+   * The hosts that may hold rights of earlier epochs.
+   * </pre>
+   *
+   * <code>repeated string unsettled = 4;</code>
+   * @return A list containing the unsettled.
    */
-  java.lang.String getStandby();
+  java.util.List<java.lang.String>
+      getUnsettledList();
   /**
-   * <code>string standby = 4;</code>
-   * @return The bytes for standby.
+   * <pre>
+   * The hosts that may hold rights of earlier epochs.
+   * </pre>
+   *
+   * <code>repeated string unsettled = 4;</code>
+   * @return The count of unsettled.
+   */
+  int getUnsettledCount();
+  /**
+   * <pre>
+   * The hosts that may hold rights of earlier epochs.
+   * </pre>
+   *
+   * <code>repeated string unsettled = 4;</code>
+   * @param index The index of the element to return.
+   * @return The unsettled at the given index.
+   */
+  java.lang.String getUnsettled(int index);
+  /**
+   * <pre>
+   * The hosts that may hold rights of earlier epochs.
+   * </pre>
+   *
+   * <code>repeated string unsettled = 4;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the unsettled at the given index.
    */
   com.google.protobuf.ByteString
-      getStandbyBytes();
+      getUnsettledBytes(int index);
 }
--- a/tools/src/main/java/io/fuchsiastand/tools/Fuchsiactl.java
+++ b/tools/src/main/java/io/fuchsiastand/tools/Fuchsiactl.java
@@ -33,6 +33,7 @@
             Map.entry("key-give", KeyGiveCommand::new),
             Map.entry("key-withdraw", KeyWithdrawCommand::new),
             Map.entry("key-list", KeyListCommand::new),
+            Map.entry("host-gone", HostGoneCommand::new),
             Map.entry("status", StatusCommand::new),
             Map.entry("explain", ExplainCommand::new),
             Map.entry("version", VersionCommand::new)));
@@ -59,9 +60,9 @@
     public static int run(String[] args, PrintStream out, PrintStream err) {
         String name = args.length == 0 ? "--help" : args[0];
         // "key give" reads better than "key-give"; both are taken.
-        boolean isPair = name.equals("key") && args.length > 1;
+        boolean isPair = (name.equals("key") || name.equals("host")) && args.length > 1;
         if (isPair) {
-            name = "key-" + args[1];
+            name = name + '-' + args[1];
         }
         Supplier<Command> maker = COMMANDS.get(name);
         if (maker == null) {
--- /dev/null
+++ b/tools/src/main/java/io/fuchsiastand/tools/HostGoneCommand.java
@@ -0,0 +1,40 @@
+package io.fuchsiastand.tools;
+
+import java.io.PrintStream;
+import java.time.Instant;
+import java.util.UUID;
+
+import io.fuchsiastand.config.Json;
+import io.fuchsiastand.platform.ObjectStore;
+import io.fuchsiastand.platform.StoredObject;
+import org.kohsuke.args4j.Argument;
+
+/** Declares that a host is gone for good, so that others may take over what it might still hold. */
+final class HostGoneCommand extends PlatformCommand {
+
+    private static final String PREFIX = "gone/";
+
+    @Argument(metaVar = "HOST", usage = "the name of a host that is switched off", required = true)
+    private String host;
+
+    /**
+     * The declaration.
+     *
+     * @param host the host
+     * @param at when it was declared gone
+     */
+    record Declaration(String host, Instant at) {}
+
+    @Override
+    String summary() {
+        return "declare that a host is switched off, so that its shards can be taken over";
+    }
+
+    @Override
+    void run(ObjectStore store, PrintStream out) {
+        Declaration d = new Declaration(host, Instant.now());
+        long version = store.get(PREFIX + host).map(StoredObject::version).orElse(StoredObject.ABSENT);
+        store.put(PREFIX + host, Json.write(d), version, UUID.randomUUID().toString());
+        print(out, d, "host " + host + " is declared gone; be sure that it is switched off");
+    }
+}
