--- a/core/src/main/java/io/fuchsiastand/idempotency/KeyLog.java
+++ b/core/src/main/java/io/fuchsiastand/idempotency/KeyLog.java
@@ -2,7 +2,9 @@
 
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -23,7 +25,7 @@
 
     private final Map<String, Entry> entries = new LinkedHashMap<>();
     private final Map<String, Integer> perTeam = new HashMap<>();
-    private final long since;
+    private long since;
 
     private record Entry(String team, KeyRecord state, long attempt, long begun) {}
 
@@ -60,6 +62,73 @@
         return now - since >= WINDOW.toNanos();
     }
 
+    /**
+     * Returns how long the log has been complete.
+     *
+     * @param now monotonic time in nanoseconds
+     * @return the time
+     */
+    public Duration completeFor(long now) {
+        return Duration.ofNanos(now - since);
+    }
+
+    /** Records that no key was used before this log began, as its shard is new. */
+    public void found() {
+        since -= WINDOW.toNanos();
+    }
+
+    /**
+     * A key and what is known of it, for a partner.
+     *
+     * @param digest the digest of the team, the service and the key
+     * @param team the team
+     * @param state what is known
+     * @param attempt names the attempt
+     * @param age time since its begin
+     */
+    public record Remembered(String digest, String team, KeyRecord state, long attempt, Duration age) {}
+
+    /**
+     * Lists the keys for a partner.
+     *
+     * @param now monotonic time in nanoseconds
+     * @return the keys
+     */
+    public List<Remembered> remembered(long now) {
+        expire(now);
+        return entries.entrySet().stream()
+                .map(e -> new Remembered(
+                        e.getKey(),
+                        e.getValue().team(),
+                        e.getValue().state(),
+                        e.getValue().attempt(),
+                        Duration.ofNanos(now - e.getValue().begun())))
+                .toList();
+    }
+
+    /**
+     * Takes over the keys of a partner. What this log knows already stays.
+     *
+     * @param keys the partner's keys
+     * @param complete how long the partner's log has been complete
+     * @param now monotonic time in nanoseconds
+     */
+    public void merge(List<Remembered> keys, Duration complete, long now) {
+        for (Remembered r : keys) {
+            if (entries.putIfAbsent(
+                            r.digest(),
+                            new Entry(
+                                    r.team(),
+                                    r.state(),
+                                    r.attempt(),
+                                    now - r.age().toNanos()))
+                    == null) {
+                perTeam.merge(r.team(), 1, Integer::sum);
+            }
+        }
+        since = Math.min(since, now - complete.toNanos());
+    }
+
     /**
      * Begins a call.
      *
@@ -126,9 +195,9 @@
         return entries.size();
     }
 
-    // Entries are in the order of their begin, so the oldest come first.
+    // Entries are in the order of their begin, but for those of a partner, which only stay a little longer.
     private void expire(long now) {
-        var i = entries.values().iterator();
+        Iterator<Entry> i = entries.values().iterator();
         while (i.hasNext()) {
             Entry e = i.next();
             if (now - e.begun() < WINDOW.toNanos()) {
--- a/core/src/main/java/io/fuchsiastand/limit/ShardEntry.java
+++ b/core/src/main/java/io/fuchsiastand/limit/ShardEntry.java
@@ -14,6 +14,7 @@
  * @param pending whether a host of an earlier epoch may use a half for up to the term of halves after this epoch began
  * @param previous hosts of the epoch before that this row no longer names
  * @param unsettled hosts of earlier epochs that may hold rights without a bound; while there are any, nobody grants
+ * @param founders starts of the processes that were named when the row was made as the first of its shard
  */
 public record ShardEntry(
         int shard,
@@ -22,7 +23,8 @@
         String standby,
         boolean pending,
         List<String> previous,
-        List<String> unsettled) {
+        List<String> unsettled,
+        List<Long> founders) {
 
     /** Prefix of the names of the objects. */
     public static final String PREFIX = "shards/";
@@ -31,6 +33,29 @@
     public ShardEntry {
         previous = previous == null ? List.of() : List.copyOf(previous);
         unsettled = unsettled == null ? List.of() : List.copyOf(unsettled);
+        founders = founders == null ? List.of() : List.copyOf(founders);
+    }
+
+    /**
+     * Creates a row that is not the first of its shard.
+     *
+     * @param shard the number of the shard
+     * @param epoch raised by each change
+     * @param holder the host that grants
+     * @param standby the host that holds the other half and lends it, or an empty text
+     * @param pending whether a host of an earlier epoch may use a half
+     * @param previous hosts of the epoch before that this row no longer names
+     * @param unsettled hosts of earlier epochs that may hold rights without a bound
+     */
+    public ShardEntry(
+            int shard,
+            long epoch,
+            String holder,
+            String standby,
+            boolean pending,
+            List<String> previous,
+            List<String> unsettled) {
+        this(shard, epoch, holder, standby, pending, previous, unsettled, List.of());
     }
 
     /**
--- a/core/src/main/java/io/fuchsiastand/limit/ShardRights.java
+++ b/core/src/main/java/io/fuchsiastand/limit/ShardRights.java
@@ -195,6 +195,15 @@
         return verified;
     }
 
+    /**
+     * Returns the start of the partner's process.
+     *
+     * @return the start, or 0 before the partner was heard in this epoch
+     */
+    public long partnerStart() {
+        return partnerStart;
+    }
+
     /**
      * Returns the time of the last confirmation by the platform.
      *
--- a/daemon/src/main/java/io/fuchsiastand/daemon/Daemon.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/Daemon.java
@@ -74,7 +74,7 @@
         servers.add(transport.dataServer(p.data(), owner));
         servers.add(transport.adminServer(p.admin(), new AdminService(board, backends, metrics, this::status)));
         callerServer = transport.callerServer(p.callers(), callers);
-        startThreads();
+        startThreads(idempotency);
         Logger.info(
                 "host {} in data centre {} takes calls on port {}",
                 settings.host(),
@@ -147,7 +147,8 @@
                 () -> board.configuration().get().configuration().version());
     }
 
-    private void startThreads() {
+    private void startThreads(IdempotencyController idempotency) {
+        every(IdempotencyController.TICK, idempotency::tick);
         every(Gossip.TICK, gossip::tick);
         every(BackendController.TICK, backends::tick);
         every(LimitController.TICK, limits::tick);
--- a/daemon/src/main/java/io/fuchsiastand/daemon/IdempotencyController.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/IdempotencyController.java
@@ -1,20 +1,25 @@
 package io.fuchsiastand.daemon;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ConcurrentHashMap;
 
+import com.google.protobuf.ByteString;
 import io.fuchsiastand.idempotency.KeyLog;
 import io.fuchsiastand.idempotency.KeyRecord;
 import io.fuchsiastand.limit.ShardEntry;
 import io.fuchsiastand.membership.Member;
+import io.fuchsiastand.protocol.RememberedKey;
 import io.fuchsiastand.protocol.TrackPhase;
 import io.fuchsiastand.protocol.TrackReply;
 import io.fuchsiastand.protocol.TrackRequest;
 import io.fuchsiastand.protocol.TrackResult;
+import io.fuchsiastand.protocol.TransferReply;
+import io.fuchsiastand.protocol.TransferRequest;
 
 /**
  * Keeps calls with an idempotency key from running twice. The holder of the team's shard decides, with both halves of
@@ -22,13 +27,21 @@
  */
 public final class IdempotencyController {
 
+    /** Time between two checks for new partners. */
+    public static final Duration TICK = Duration.ofMillis(500);
+
     private static final Duration TIMEOUT = Duration.ofMillis(500);
+    private static final Duration TRANSFER_TIMEOUT = Duration.ofSeconds(5);
     private static final int HALVES = 2;
 
     private final Blackboard board;
     private final Peers peers;
     private final LimitController limits;
     private final Map<Integer, KeyLog> logs = new ConcurrentHashMap<>();
+    private final Map<Integer, Handover> handovers = new ConcurrentHashMap<>();
+
+    /** A process that has been given the keys of a shard. */
+    private record Handover(String host, long start) {}
 
     /**
      * Creates the controller.
@@ -57,7 +70,51 @@
         if (row.holder().equals(board.settings().host())) {
             return onTrack(request).thenApply(TrackReply::getResult);
         }
-        return send(row.holder(), request);
+        return send(row.holder(), request).thenApply(TrackReply::getResult);
+    }
+
+    /** Hands the keys of each shard to a partner whose process is new. */
+    public void tick() {
+        limits.shards().forEach((number, shard) -> {
+            ShardEntry row;
+            long partnerStart;
+            synchronized (shard) {
+                row = shard.rights().entry();
+                partnerStart = shard.rights().partnerStart();
+            }
+            if (!row.names(board.settings().host())) {
+                return;
+            }
+            KeyLog log = log(number);
+            String partner = row.partnerOf(board.settings().host());
+            Handover h = new Handover(partner, partnerStart);
+            if (partnerStart != 0 && !h.equals(handovers.get(number))) {
+                transfer(number, log, h);
+            }
+        });
+    }
+
+    /**
+     * Takes over the keys of a partner.
+     *
+     * @param request the keys
+     */
+    public void onTransfer(TransferRequest request) {
+        KeyLog log = log(request.getShard());
+        List<KeyLog.Remembered> keys = request.getKeysList().stream()
+                .map(k -> new KeyLog.Remembered(
+                        k.getKeyDigest().toStringUtf8(),
+                        k.getTeam(),
+                        KeyRecord.valueOf(k.getState().name()),
+                        k.getAttempt(),
+                        Duration.ofMillis(k.getAgeMillis())))
+                .toList();
+        synchronized (log) {
+            log.merge(
+                    keys,
+                    Duration.ofMillis(request.getCompleteMillis()),
+                    board.clock().nanoTime());
+        }
     }
 
     /**
@@ -68,27 +125,35 @@
      */
     public CompletionStage<TrackReply> onTrack(TrackRequest request) {
         TrackResult own = apply(request);
+        boolean complete = isComplete(request.getShard());
         TrackPhase copy = copyOf(request.getPhase());
         if (copy == null) {
-            return reply(own);
+            return reply(own, complete);
         }
         ShardEntry row = limits.row(request.getShard()).orElse(null);
         if (row == null || !isInCharge(row)) {
-            return reply(undo(request, own));
+            return reply(undo(request, own), complete);
         }
-        if (row.standby().isEmpty() || (request.getPhase() == TrackPhase.BEGIN && own != TrackResult.STARTED)) {
-            return reply(row.standby().isEmpty() ? alone(request, own) : own);
+        if (request.getPhase() == TrackPhase.BEGIN && own != TrackResult.STARTED) {
+            return reply(own, complete);
+        }
+        if (row.standby().isEmpty()) {
+            return reply(confirm(request, row, complete), complete);
         }
         TrackRequest toStandby =
                 request.toBuilder().setPhase(copy).setEpoch(row.epoch()).build();
-        return send(row.standby(), toStandby)
-                .thenCompose(r -> reply(r == TrackResult.STARTED ? confirm(request, row) : undo(request, r)));
+        return send(row.standby(), toStandby).thenCompose(r -> {
+            boolean known = complete || r.getComplete();
+            TrackResult result =
+                    r.getResult() == TrackResult.STARTED ? confirm(request, row, known) : undo(request, r.getResult());
+            return reply(result, known);
+        });
     }
 
     private TrackResult apply(TrackRequest r) {
         long now = board.clock().nanoTime();
         String digest = r.getKeyDigest().toStringUtf8();
-        KeyLog log = logs.computeIfAbsent(r.getShard(), k -> new KeyLog(now));
+        KeyLog log = log(r.getShard());
         synchronized (log) {
             switch (r.getPhase()) {
                 case BEGIN, COPY_BEGIN -> {
@@ -108,24 +173,66 @@
         }
     }
 
+    private KeyLog log(int shard) {
+        return logs.computeIfAbsent(shard, k -> {
+            KeyLog log = new KeyLog(board.clock().nanoTime());
+            // A process that was named when the shard was made has seen every key of it.
+            if (limits.row(shard)
+                    .filter(r -> r.founders().contains(board.start()))
+                    .isPresent()) {
+                log.found();
+            }
+            return log;
+        });
+    }
+
+    private boolean isComplete(int shard) {
+        KeyLog log = log(shard);
+        synchronized (log) {
+            return log.isComplete(board.clock().nanoTime());
+        }
+    }
+
+    private void transfer(int number, KeyLog log, Handover to) {
+        Optional<Member> m = board.members().find(to.host()).filter(Member::isReachable);
+        if (m.isEmpty()) {
+            return;
+        }
+        long now = board.clock().nanoTime();
+        TransferRequest.Builder b =
+                TransferRequest.newBuilder().setFrom(board.settings().host()).setShard(number);
+        synchronized (log) {
+            b.setCompleteMillis(log.completeFor(now).toMillis());
+            for (KeyLog.Remembered r : log.remembered(now)) {
+                b.addKeys(RememberedKey.newBuilder()
+                        .setKeyDigest(ByteString.copyFromUtf8(r.digest()))
+                        .setTeam(r.team())
+                        .setState(TrackResult.valueOf(r.state().name()))
+                        .setAttempt(r.attempt())
+                        .setAgeMillis(r.age().toMillis()));
+            }
+        }
+        TransferRequest request = b.build();
+        peers.<TransferReply>call(m.get(), TRANSFER_TIMEOUT, (stub, o) -> stub.transfer(request, o))
+                .thenAccept(r -> handovers.put(number, to));
+    }
+
     // Both halves at one daemon mean that no other daemon can start calls of this shard.
     private boolean isInCharge(ShardEntry row) {
         return row.holder().equals(board.settings().host())
                 && limits.share(row.shard()).halves() == HALVES;
     }
 
-    // The fence is checked again after the wait for the standby.
-    private TrackResult confirm(TrackRequest request, ShardEntry row) {
-        if (request.getPhase() == TrackPhase.BEGIN && !isInCharge(row)) {
+    // The fence is checked again after the wait for the standby. Where neither log covers the window, a key that is in
+    // none of them may have run all the same.
+    private TrackResult confirm(TrackRequest request, ShardEntry row, boolean complete) {
+        if (request.getPhase() != TrackPhase.BEGIN) {
+            return TrackResult.STARTED;
+        }
+        if (!isInCharge(row)) {
             return undo(request, TrackResult.STARTED);
         }
-        return TrackResult.STARTED;
-    }
-
-    private TrackResult alone(TrackRequest request, TrackResult own) {
-        return request.getPhase() == TrackPhase.BEGIN && own == TrackResult.STARTED
-                ? confirm(request, limits.row(request.getShard()).orElseThrow())
-                : own;
+        return complete ? TrackResult.STARTED : undo(request, TrackResult.UNKNOWN);
     }
 
     private TrackResult undo(TrackRequest request, TrackResult seen) {
@@ -145,17 +252,19 @@
         };
     }
 
-    private CompletionStage<TrackResult> send(String host, TrackRequest request) {
+    private CompletionStage<TrackReply> send(String host, TrackRequest request) {
         Optional<Member> m = board.members().find(host).filter(Member::isReachable);
         if (m.isEmpty()) {
-            return CompletableFuture.completedFuture(TrackResult.UNAVAILABLE);
+            return reply(TrackResult.UNAVAILABLE, false);
         }
         return peers.<TrackReply>call(m.get(), TIMEOUT, (stub, o) -> stub.track(request, o))
-                .handle((r, e) -> e == null ? r.getResult() : TrackResult.UNAVAILABLE);
+                .exceptionally(e -> TrackReply.newBuilder()
+                        .setResult(TrackResult.UNAVAILABLE)
+                        .build());
     }
 
-    private static CompletionStage<TrackReply> reply(TrackResult result) {
+    private static CompletionStage<TrackReply> reply(TrackResult result, boolean complete) {
         return CompletableFuture.completedFuture(
-                TrackReply.newBuilder().setResult(result).build());
+                TrackReply.newBuilder().setResult(result).setComplete(complete).build());
     }
 }
--- a/daemon/src/main/java/io/fuchsiastand/daemon/PeerServer.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/PeerServer.java
@@ -15,6 +15,8 @@
 import io.fuchsiastand.protocol.SyncRequest;
 import io.fuchsiastand.protocol.TrackReply;
 import io.fuchsiastand.protocol.TrackRequest;
+import io.fuchsiastand.protocol.TransferReply;
+import io.fuchsiastand.protocol.TransferRequest;
 import io.grpc.Status;
 import io.grpc.stub.StreamObserver;
 
@@ -76,6 +78,12 @@
         answerLater(out, idempotency.onTrack(request));
     }
 
+    @Override
+    public void transfer(TransferRequest request, StreamObserver<TransferReply> out) {
+        idempotency.onTransfer(request);
+        answer(out, TransferReply.getDefaultInstance());
+    }
+
     private static <T> void answer(StreamObserver<T> out, T value) {
         out.onNext(value);
         out.onCompleted();
--- a/daemon/src/main/java/io/fuchsiastand/daemon/ShardTableWriter.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/ShardTableWriter.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.UUID;
+import java.util.stream.Stream;
 
 import io.fuchsiastand.config.Json;
 import io.fuchsiastand.error.ErrorCode;
@@ -179,10 +180,21 @@
         List<Member> order =
                 Membership.rendezvous("shard/" + shard, board.members().reachable());
         Member holder = order.get(0);
-        String standby = partnerFor(holder, order).map(Member::host).orElse("");
+        Optional<Member> standby = partnerFor(holder, order);
+        List<Long> founders = Stream.concat(Stream.of(holder), standby.stream())
+                .map(Member::incarnation)
+                .toList();
         create(
                 ShardEntry.name(shard),
-                Json.write(new ShardEntry(shard, 1, holder.host(), standby, false, List.of(), List.of())));
+                Json.write(new ShardEntry(
+                        shard,
+                        1,
+                        holder.host(),
+                        standby.map(Member::host).orElse(""),
+                        false,
+                        List.of(),
+                        List.of(),
+                        founders)));
     }
 
     private void create(String name, byte[] value) {
--- a/daemon/src/test/java/io/fuchsiastand/daemon/FleetFailureTest.java
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/FleetFailureTest.java
@@ -129,6 +129,36 @@
         Fleet.await("calls are granted", () -> isGranted(0) && isGranted(1));
     }
 
+    @Test
+    void remembersAnIdempotencyKeyThoughOneDaemonAfterTheOtherRestarts() throws Exception {
+        assertThat(order(0)).isEqualTo(200);
+        for (int i = 0; i < 3; i++) {
+            fleet.daemons.get(i).close();
+            Daemon again = restart(i);
+            Fleet.await("it is ready", () -> again.status().lifecycle() == Lifecycle.READY);
+            Fleet.await("every shard has a pair with all rights", () -> isPaired() && halves() == 16);
+            // Partners hand over the keys right after they have met.
+            Thread.sleep(1500);
+        }
+        for (int i = 0; i < 3; i++) {
+            assertThat(order(i)).isEqualTo(409);
+        }
+        assertThat(fleet.backends.stream()
+                        .flatMap(b -> b.runs().stream())
+                        .filter("order-1"::equals)
+                        .count())
+                .isEqualTo(1);
+    }
+
+    private int order(int daemon) throws Exception {
+        return fleet.send(fleet.request(daemon, "/menu/order", Fleet.KEY)
+                        .header("x-call", "order-1")
+                        .header("Idempotency-Key", "order-1")
+                        .POST(HttpRequest.BodyPublishers.ofString("sugar"))
+                        .build())
+                .statusCode();
+    }
+
     private Daemon restart(int i) {
         for (int attempt = 0; ; attempt++) {
             try {
--- a/protocol/src/main/java/io/fuchsiastand/protocol/PeerGrpc.java
+++ b/protocol/src/main/java/io/fuchsiastand/protocol/PeerGrpc.java
@@ -201,6 +201,37 @@
     return getTrackMethod;
   }
 
+  private static volatile io.grpc.MethodDescriptor<io.fuchsiastand.protocol.TransferRequest,
+      io.fuchsiastand.protocol.TransferReply> getTransferMethod;
+
+  @io.grpc.stub.annotations.RpcMethod(
+      fullMethodName = SERVICE_NAME + '/' + "Transfer",
+      requestType = io.fuchsiastand.protocol.TransferRequest.class,
+      responseType = io.fuchsiastand.protocol.TransferReply.class,
+      methodType = io.grpc.MethodDescriptor.MethodType.UNARY)
+  public static io.grpc.MethodDescriptor<io.fuchsiastand.protocol.TransferRequest,
+      io.fuchsiastand.protocol.TransferReply> getTransferMethod() {
+    io.grpc.MethodDescriptor<io.fuchsiastand.protocol.TransferRequest, io.fuchsiastand.protocol.TransferReply> getTransferMethod;
+    if ((getTransferMethod = PeerGrpc.getTransferMethod) == null) {
+      synchronized (PeerGrpc.class) {
+        if ((getTransferMethod = PeerGrpc.getTransferMethod) == null) {
+          PeerGrpc.getTransferMethod = getTransferMethod =
+              io.grpc.MethodDescriptor.<io.fuchsiastand.protocol.TransferRequest, io.fuchsiastand.protocol.TransferReply>newBuilder()
+              .setType(io.grpc.MethodDescriptor.MethodType.UNARY)
+              .setFullMethodName(generateFullMethodName(SERVICE_NAME, "Transfer"))
+              .setSampledToLocalTracing(true)
+              .setRequestMarshaller(io.grpc.protobuf.ProtoUtils.marshaller(
+                  io.fuchsiastand.protocol.TransferRequest.getDefaultInstance()))
+              .setResponseMarshaller(io.grpc.protobuf.ProtoUtils.marshaller(
+                  io.fuchsiastand.protocol.TransferReply.getDefaultInstance()))
+              .setSchemaDescriptor(new PeerMethodDescriptorSupplier("Transfer"))
+              .build();
+        }
+      }
+    }
+    return getTransferMethod;
+  }
+
   /**
    * Creates a new async stub that supports all call types for the service
    */
@@ -326,6 +357,16 @@
         io.grpc.stub.StreamObserver<io.fuchsiastand.protocol.TrackReply> responseObserver) {
       io.grpc.stub.ServerCalls.asyncUnimplementedUnaryCall(getTrackMethod(), responseObserver);
     }
+
+    /**
+     * <pre>
+     * At-most-once: hands the remembered keys of a shard to a partner that has started since.
+     * </pre>
+     */
+    default void transfer(io.fuchsiastand.protocol.TransferRequest request,
+        io.grpc.stub.StreamObserver<io.fuchsiastand.protocol.TransferReply> responseObserver) {
+      io.grpc.stub.ServerCalls.asyncUnimplementedUnaryCall(getTransferMethod(), responseObserver);
+    }
   }
 
   /**
@@ -426,6 +467,17 @@
       io.grpc.stub.ClientCalls.asyncUnaryCall(
           getChannel().newCall(getTrackMethod(), getCallOptions()), request, responseObserver);
     }
+
+    /**
+     * <pre>
+     * At-most-once: hands the remembered keys of a shard to a partner that has started since.
+     * </pre>
+     */
+    public void transfer(io.fuchsiastand.protocol.TransferRequest request,
+        io.grpc.stub.StreamObserver<io.fuchsiastand.protocol.TransferReply> responseObserver) {
+      io.grpc.stub.ClientCalls.asyncUnaryCall(
+          getChannel().newCall(getTransferMethod(), getCallOptions()), request, responseObserver);
+    }
   }
 
   /**
@@ -506,6 +558,16 @@
       return io.grpc.stub.ClientCalls.blockingV2UnaryCall(
           getChannel(), getTrackMethod(), getCallOptions(), request);
     }
+
+    /**
+     * <pre>
+     * At-most-once: hands the remembered keys of a shard to a partner that has started since.
+     * </pre>
+     */
+    public io.fuchsiastand.protocol.TransferReply transfer(io.fuchsiastand.protocol.TransferRequest request) throws io.grpc.StatusException {
+      return io.grpc.stub.ClientCalls.blockingV2UnaryCall(
+          getChannel(), getTransferMethod(), getCallOptions(), request);
+    }
   }
 
   /**
@@ -586,6 +648,16 @@
       return io.grpc.stub.ClientCalls.blockingUnaryCall(
           getChannel(), getTrackMethod(), getCallOptions(), request);
     }
+
+    /**
+     * <pre>
+     * At-most-once: hands the remembered keys of a shard to a partner that has started since.
+     * </pre>
+     */
+    public io.fuchsiastand.protocol.TransferReply transfer(io.fuchsiastand.protocol.TransferRequest request) {
+      return io.grpc.stub.ClientCalls.blockingUnaryCall(
+          getChannel(), getTransferMethod(), getCallOptions(), request);
+    }
   }
 
   /**
@@ -672,6 +744,17 @@
       return io.grpc.stub.ClientCalls.futureUnaryCall(
           getChannel().newCall(getTrackMethod(), getCallOptions()), request);
     }
+
+    /**
+     * <pre>
+     * At-most-once: hands the remembered keys of a shard to a partner that has started since.
+     * </pre>
+     */
+    public com.google.common.util.concurrent.ListenableFuture<io.fuchsiastand.protocol.TransferReply> transfer(
+        io.fuchsiastand.protocol.TransferRequest request) {
+      return io.grpc.stub.ClientCalls.futureUnaryCall(
+          getChannel().newCall(getTransferMethod(), getCallOptions()), request);
+    }
   }
 
   private static final int METHODID_PROBE = 0;
@@ -680,6 +763,7 @@
   private static final int METHODID_RENEW = 3;
   private static final int METHODID_SURRENDER = 4;
   private static final int METHODID_TRACK = 5;
+  private static final int METHODID_TRANSFER = 6;
 
   private static final class MethodHandlers<Req, Resp> implements
       io.grpc.stub.ServerCalls.UnaryMethod<Req, Resp>,
@@ -722,6 +806,10 @@
           serviceImpl.track((io.fuchsiastand.protocol.TrackRequest) request,
               (io.grpc.stub.StreamObserver<io.fuchsiastand.protocol.TrackReply>) responseObserver);
           break;
+        case METHODID_TRANSFER:
+          serviceImpl.transfer((io.fuchsiastand.protocol.TransferRequest) request,
+              (io.grpc.stub.StreamObserver<io.fuchsiastand.protocol.TransferReply>) responseObserver);
+          break;
         default:
           throw new AssertionError();
       }
@@ -782,6 +870,13 @@
               io.fuchsiastand.protocol.TrackRequest,
               io.fuchsiastand.protocol.TrackReply>(
                 service, METHODID_TRACK)))
+        .addMethod(
+          getTransferMethod(),
+          io.grpc.stub.ServerCalls.asyncUnaryCall(
+            new MethodHandlers<
+              io.fuchsiastand.protocol.TransferRequest,
+              io.fuchsiastand.protocol.TransferReply>(
+                service, METHODID_TRANSFER)))
         .build();
   }
 
@@ -836,6 +931,7 @@
               .addMethod(getRenewMethod())
               .addMethod(getSurrenderMethod())
               .addMethod(getTrackMethod())
+              .addMethod(getTransferMethod())
               .build();
         }
       }
--- a/protocol/src/main/java/io/fuchsiastand/protocol/PeerProto.java
+++ b/protocol/src/main/java/io/fuchsiastand/protocol/PeerProto.java
@@ -105,6 +105,21 @@
   static final 
     com.google.protobuf.GeneratedMessageV3.FieldAccessorTable
       internal_static_fuchsiastand_peer_TrackReply_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_fuchsiastand_peer_RememberedKey_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessageV3.FieldAccessorTable
+      internal_static_fuchsiastand_peer_RememberedKey_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_fuchsiastand_peer_TransferRequest_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessageV3.FieldAccessorTable
+      internal_static_fuchsiastand_peer_TransferRequest_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_fuchsiastand_peer_TransferReply_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessageV3.FieldAccessorTable
+      internal_static_fuchsiastand_peer_TransferReply_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -167,30 +182,39 @@
       "quest\022\014\n\004from\030\001 \001(\t\022\r\n\005shard\030\002 \001(\005\022\014\n\004te" +
       "am\030\003 \001(\t\022\022\n\nkey_digest\030\004 \001(\014\022,\n\005phase\030\005 " +
       "\001(\0162\035.fuchsiastand.peer.TrackPhase\022\r\n\005ep" +
-      "och\030\006 \001(\004\022\017\n\007attempt\030\007 \001(\004\"<\n\nTrackReply" +
+      "och\030\006 \001(\004\022\017\n\007attempt\030\007 \001(\004\"N\n\nTrackReply" +
       "\022.\n\006result\030\001 \001(\0162\036.fuchsiastand.peer.Tra" +
-      "ckResult*9\n\013MemberState\022\t\n\005ALIVE\020\000\022\013\n\007SU" +
-      "SPECT\020\001\022\010\n\004DEAD\020\002\022\010\n\004LEFT\020\003*I\n\rAcquireRe" +
-      "sult\022\013\n\007GRANTED\020\000\022\r\n\tOVER_RATE\020\001\022\016\n\nNOT_" +
-      "HOLDER\020\002\022\014\n\010NO_RIGHT\020\003*t\n\nTrackPhase\022\t\n\005" +
-      "BEGIN\020\000\022\007\n\003END\020\001\022\016\n\nCOPY_BEGIN\020\002\022\014\n\010COPY" +
-      "_END\020\003\022\n\n\006CANCEL\020\004\022\017\n\013COPY_CANCEL\020\005\022\010\n\004L" +
-      "OSE\020\006\022\r\n\tCOPY_LOSE\020\007*N\n\013TrackResult\022\013\n\007S" +
-      "TARTED\020\000\022\013\n\007RUNNING\020\001\022\007\n\003RAN\020\002\022\013\n\007UNKNOW" +
-      "N\020\003\022\017\n\013UNAVAILABLE\020\0042\316\003\n\004Peer\022G\n\005Probe\022\037" +
-      ".fuchsiastand.peer.ProbeRequest\032\035.fuchsi" +
-      "astand.peer.ProbeReply\022D\n\004Sync\022\036.fuchsia" +
-      "stand.peer.SyncRequest\032\034.fuchsiastand.pe" +
-      "er.SyncReply\022M\n\007Acquire\022!.fuchsiastand.p" +
-      "eer.AcquireRequest\032\037.fuchsiastand.peer.A" +
-      "cquireReply\022J\n\005Renew\022\035.fuchsiastand.peer" +
-      ".RenewBatch\032\".fuchsiastand.peer.RenewBat" +
-      "chReply\022S\n\tSurrender\022#.fuchsiastand.peer" +
-      ".SurrenderRequest\032!.fuchsiastand.peer.Su" +
-      "rrenderReply\022G\n\005Track\022\037.fuchsiastand.pee" +
-      "r.TrackRequest\032\035.fuchsiastand.peer.Track" +
-      "ReplyB\'\n\030io.fuchsiastand.protocolB\tPeerP" +
-      "rotoP\001b\006proto3"
+      "ckResult\022\020\n\010complete\030\002 \001(\010\"\205\001\n\rRemembere" +
+      "dKey\022\022\n\nkey_digest\030\001 \001(\014\022\014\n\004team\030\002 \001(\t\022-" +
+      "\n\005state\030\003 \001(\0162\036.fuchsiastand.peer.TrackR" +
+      "esult\022\017\n\007attempt\030\004 \001(\004\022\022\n\nage_millis\030\005 \001" +
+      "(\003\"w\n\017TransferRequest\022\014\n\004from\030\001 \001(\t\022\r\n\005s" +
+      "hard\030\002 \001(\005\022\027\n\017complete_millis\030\003 \001(\003\022.\n\004k" +
+      "eys\030\004 \003(\0132 .fuchsiastand.peer.Remembered" +
+      "Key\"\017\n\rTransferReply*9\n\013MemberState\022\t\n\005A" +
+      "LIVE\020\000\022\013\n\007SUSPECT\020\001\022\010\n\004DEAD\020\002\022\010\n\004LEFT\020\003*" +
+      "I\n\rAcquireResult\022\013\n\007GRANTED\020\000\022\r\n\tOVER_RA" +
+      "TE\020\001\022\016\n\nNOT_HOLDER\020\002\022\014\n\010NO_RIGHT\020\003*t\n\nTr" +
+      "ackPhase\022\t\n\005BEGIN\020\000\022\007\n\003END\020\001\022\016\n\nCOPY_BEG" +
+      "IN\020\002\022\014\n\010COPY_END\020\003\022\n\n\006CANCEL\020\004\022\017\n\013COPY_C" +
+      "ANCEL\020\005\022\010\n\004LOSE\020\006\022\r\n\tCOPY_LOSE\020\007*N\n\013Trac" +
+      "kResult\022\013\n\007STARTED\020\000\022\013\n\007RUNNING\020\001\022\007\n\003RAN" +
+      "\020\002\022\013\n\007UNKNOWN\020\003\022\017\n\013UNAVAILABLE\020\0042\240\004\n\004Pee" +
+      "r\022G\n\005Probe\022\037.fuchsiastand.peer.ProbeRequ" +
+      "est\032\035.fuchsiastand.peer.ProbeReply\022D\n\004Sy" +
+      "nc\022\036.fuchsiastand.peer.SyncRequest\032\034.fuc" +
+      "hsiastand.peer.SyncReply\022M\n\007Acquire\022!.fu" +
+      "chsiastand.peer.AcquireRequest\032\037.fuchsia" +
+      "stand.peer.AcquireReply\022J\n\005Renew\022\035.fuchs" +
+      "iastand.peer.RenewBatch\032\".fuchsiastand.p" +
+      "eer.RenewBatchReply\022S\n\tSurrender\022#.fuchs" +
+      "iastand.peer.SurrenderRequest\032!.fuchsias" +
+      "tand.peer.SurrenderReply\022G\n\005Track\022\037.fuch" +
+      "siastand.peer.TrackRequest\032\035.fuchsiastan" +
+      "d.peer.TrackReply\022P\n\010Transfer\022\".fuchsias" +
+      "tand.peer.TransferRequest\032 .fuchsiastand" +
+      ".peer.TransferReplyB\'\n\030io.fuchsiastand.p" +
+      "rotocolB\tPeerProtoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -303,7 +327,25 @@
     internal_static_fuchsiastand_peer_TrackReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_fuchsiastand_peer_TrackReply_descriptor,
-        new java.lang.String[] { "Result", });
+        new java.lang.String[] { "Result", "Complete", });
+    internal_static_fuchsiastand_peer_RememberedKey_descriptor =
+      getDescriptor().getMessageTypes().get(18);
+    internal_static_fuchsiastand_peer_RememberedKey_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
+        internal_static_fuchsiastand_peer_RememberedKey_descriptor,
+        new java.lang.String[] { "KeyDigest", "Team", "State", "Attempt", "AgeMillis", });
+    internal_static_fuchsiastand_peer_TransferRequest_descriptor =
+      getDescriptor().getMessageTypes().get(19);
+    internal_static_fuchsiastand_peer_TransferRequest_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
+        internal_static_fuchsiastand_peer_TransferRequest_descriptor,
+        new java.lang.String[] { "From", "Shard", "CompleteMillis", "Keys", });
+    internal_static_fuchsiastand_peer_TransferReply_descriptor =
+      getDescriptor().getMessageTypes().get(20);
+    internal_static_fuchsiastand_peer_TransferReply_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
+        internal_static_fuchsiastand_peer_TransferReply_descriptor,
+        new java.lang.String[] { });
   }
 
   // @@protoc_insertion_point(outer_class_scope)
--- a/protocol/src/main/java/io/fuchsiastand/protocol/TrackReply.java
+++ b/protocol/src/main/java/io/fuchsiastand/protocol/TrackReply.java
@@ -58,6 +58,21 @@
     return result == null ? io.fuchsiastand.protocol.TrackResult.UNRECOGNIZED : result;
   }
 
+  public static final int COMPLETE_FIELD_NUMBER = 2;
+  private boolean complete_ = false;
+  /**
+   * <pre>
+   * The receiver remembers all keys of the window.
+   * </pre>
+   *
+   * <code>bool complete = 2;</code>
+   * @return The complete.
+   */
+  @java.lang.Override
+  public boolean getComplete() {
+    return complete_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -75,6 +90,9 @@
     if (result_ != io.fuchsiastand.protocol.TrackResult.STARTED.getNumber()) {
       output.writeEnum(1, result_);
     }
+    if (complete_ != false) {
+      output.writeBool(2, complete_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -88,6 +106,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeEnumSize(1, result_);
     }
+    if (complete_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(2, complete_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -104,6 +126,8 @@
     io.fuchsiastand.protocol.TrackReply other = (io.fuchsiastand.protocol.TrackReply) obj;
 
     if (result_ != other.result_) return false;
+    if (getComplete()
+        != other.getComplete()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -117,6 +141,9 @@
     hash = (19 * hash) + getDescriptor().hashCode();
     hash = (37 * hash) + RESULT_FIELD_NUMBER;
     hash = (53 * hash) + result_;
+    hash = (37 * hash) + COMPLETE_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getComplete());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -249,6 +276,7 @@
       super.clear();
       bitField0_ = 0;
       result_ = 0;
+      complete_ = false;
       return this;
     }
 
@@ -285,6 +313,9 @@
       if (((from_bitField0_ & 0x00000001) != 0)) {
         result.result_ = result_;
       }
+      if (((from_bitField0_ & 0x00000002) != 0)) {
+        result.complete_ = complete_;
+      }
     }
 
     @java.lang.Override
@@ -334,6 +365,9 @@
       if (other.result_ != 0) {
         setResultValue(other.getResultValue());
       }
+      if (other.getComplete() != false) {
+        setComplete(other.getComplete());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -365,6 +399,11 @@
               bitField0_ |= 0x00000001;
               break;
             } // case 8
+            case 16: {
+              complete_ = input.readBool();
+              bitField0_ |= 0x00000002;
+              break;
+            } // case 16
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -434,6 +473,50 @@
       onChanged();
       return this;
     }
+
+    private boolean complete_ ;
+    /**
+     * <pre>
+     * The receiver remembers all keys of the window.
+     * </pre>
+     *
+     * <code>bool complete = 2;</code>
+     * @return The complete.
+     */
+    @java.lang.Override
+    public boolean getComplete() {
+      return complete_;
+    }
+    /**
+     * <pre>
+     * The receiver remembers all keys of the window.
+     * </pre>
+     *
+     * <code>bool complete = 2;</code>
+     * @param value The complete to set.
+     * @return This builder for chaining.
+     */
+    public Builder setComplete(boolean value) {
+
+      complete_ = value;
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The receiver remembers all keys of the window.
+     * </pre>
+     *
+     * <code>bool complete = 2;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearComplete() {
+      bitField0_ = (bitField0_ & ~0x00000002);
+      complete_ = false;
+      onChanged();
+      return this;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/protocol/src/main/java/io/fuchsiastand/protocol/TrackReplyOrBuilder.java
+++ b/protocol/src/main/java/io/fuchsiastand/protocol/TrackReplyOrBuilder.java
@@ -18,4 +18,14 @@
    * @return The result.
    */
   io.fuchsiastand.protocol.TrackResult getResult();
+
+  /**
+   * <pre>
+   * The receiver remembers all keys of the window.
+   * </pre>
+   *
+   * <code>bool complete = 2;</code>
+   * @return The complete.
+   */
+  boolean getComplete();
 }
