Measure what single faults cost a team, and hand keys over under test

Cause: nothing told how much of its rate a team loses to one crash, restart or platform outage. Change: the exploration runs single kinds of faults with the daemons' own terms and models gossip of rows; status tells shards held in full and in part; a test restarts all daemons one after the other and finds the idempotency key kept.

--- a/bench/src/main/java/io/fuchsiastand/bench/decisions/DecisionsBench.java
+++ b/bench/src/main/java/io/fuchsiastand/bench/decisions/DecisionsBench.java
@@ -14,6 +14,9 @@
     private static final Duration RIGHTS_LENGTH = Duration.ofMinutes(10);
     private static final Duration FAIRNESS_LENGTH = Duration.ofMinutes(10);
     private static final int FAIRNESS_SEEDS = 10;
+    private static final double FAULTS_PER_SECOND = 1.0 / 300;
+    private static final int SCENARIO_SEEDS = 40;
+    private static final Duration SCENARIO_LENGTH = Duration.ofMinutes(60);
     private static final int SEEDS_PER_SCALE = 20;
     private static final int RIGHTS_PER_SCALE = 5_000;
 
@@ -28,6 +31,7 @@
     public static List<Check> run(int scale) {
         List<Check> checks = new ArrayList<>();
         checks.addAll(rights(scale));
+        scenarios();
         checks.addAll(new DetectionBench(scale * SEEDS_PER_SCALE).run());
         checks.addAll(fairness());
         System.out.println("\n| check | value | bound | ratio | |\n|---|---:|---:|---:|---|");
@@ -60,6 +64,33 @@
         return List.of(Check.atMost("rights: halves used twice", violations, 0));
     }
 
+    // What a team that uses all of its rate would be refused: the share of the rights that nobody could use.
+    private static void scenarios() {
+        System.out.println("\n| scenario, one fault in 5 min on three hosts | share of rights that nobody could use |");
+        System.out.println("|---|---:|");
+        for (RightsExploration.Kind k : RightsExploration.Kind.values()) {
+            scenario(k.name(), new RightsExploration.Faults(0, 0, FAULTS_PER_SECOND, List.of(k), false));
+        }
+        scenario("platform away for hours", new RightsExploration.Faults(0, 0, 0, List.of(), true));
+        scenario(
+                "restarts while the platform is away",
+                new RightsExploration.Faults(0, 0, FAULTS_PER_SECOND, List.of(RightsExploration.Kind.RESTART), true));
+        scenario(
+                "crashes while the platform is away",
+                new RightsExploration.Faults(0, 0, FAULTS_PER_SECOND, List.of(RightsExploration.Kind.CRASH), true));
+    }
+
+    private static void scenario(String name, RightsExploration.Faults faults) {
+        double unused = LongStream.range(0, SCENARIO_SEEDS)
+                .parallel()
+                .mapToDouble(seed ->
+                        1 - RightsExploration.run(seed, faults, SCENARIO_LENGTH).usableShare())
+                .average()
+                .orElse(0);
+        System.out.printf(
+                Locale.ROOT, "| %s | %.4f |%n", name.toLowerCase(Locale.ROOT).replace('_', ' '), unused);
+    }
+
     private static List<Check> fairness() {
         System.out.println("\n| waiting calls | worst p99 wait ms of a team in its share | worst share refused |");
         System.out.println("|---|---:|---:|");
--- a/bench/src/main/java/io/fuchsiastand/bench/decisions/RightsExploration.java
+++ b/bench/src/main/java/io/fuchsiastand/bench/decisions/RightsExploration.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
@@ -26,7 +27,8 @@
  */
 public final class RightsExploration {
 
-    private static final RightsTerms TERMS = new RightsTerms(
+    // Short terms and slow messages let a schedule meet more states; without loss the daemons' own terms show the cost.
+    private static final RightsTerms SHORT_TERMS = new RightsTerms(
             Duration.ofSeconds(20),
             Duration.ofMillis(1500),
             Duration.ofSeconds(3),
@@ -34,12 +36,13 @@
             Duration.ofMinutes(30));
     private static final String[] HOSTS = {"a", "b", "c"};
     private static final long MILLI = 1_000_000;
-    private static final long TICK = 500 * MILLI;
+    private static final long TICK = 300 * MILLI;
     private static final int SEIZURE_ODDS = 200;
     private static final long STEP = 100 * MILLI;
 
     private final SplittableRandom random;
     private final Faults faults;
+    private final RightsTerms terms;
     private final PriorityQueue<Event> events =
             new PriorityQueue<>(Comparator.comparingLong(Event::at).thenComparingLong(Event::number));
     private final Process[] processes = new Process[HOSTS.length];
@@ -60,13 +63,33 @@
      * @param loss share of messages that are lost
      * @param doubled share of messages that arrive twice
      * @param events faults of hosts, links and the platform, per second
+     * @param kinds the kinds of faults that strike
+     * @param platformDown whether the platform is away after the first minute
      */
-    public record Faults(double loss, double doubled, double events) {
+    public record Faults(double loss, double doubled, double events, List<Kind> kinds, boolean platformDown) {
 
         /** No fault. */
-        public static final Faults NONE = new Faults(0, 0, 0);
+        public static final Faults NONE = new Faults(0, 0, 0, List.of(), false);
         /** Faults of all kinds, far more often than in production. */
-        public static final Faults HEAVY = new Faults(0.15, 0.1, 0.2);
+        public static final Faults HEAVY = new Faults(0.15, 0.1, 0.2, List.of(Kind.values()), false);
+    }
+
+    /** A kind of fault. */
+    public enum Kind {
+        /** A link is cut one way. */
+        ONE_WAY,
+        /** A process is paused. */
+        PAUSE,
+        /** A process crashes and another starts. */
+        CRASH,
+        /** A process hands over, ends, and another starts. */
+        RESTART,
+        /** A host loses the platform. */
+        HOST_WITHOUT_PLATFORM,
+        /** All hosts lose the platform for a while. */
+        PLATFORM_AWAY,
+        /** A link is cut both ways. */
+        CUT
     }
 
     /**
@@ -90,16 +113,17 @@
         private boolean leaving;
         private SeizureProgress seizure;
 
-        private Process(int host, long start) {
+        private Process(int host, long start, RightsTerms terms) {
             this.host = host;
             this.start = start;
-            rights = new ShardRights(HOSTS[host], start, 0, TERMS);
+            rights = new ShardRights(HOSTS[host], start, 0, terms);
         }
     }
 
     private RightsExploration(long seed, Faults faults) {
         random = new SplittableRandom(seed);
         this.faults = faults;
+        terms = faults.loss() > 0 ? SHORT_TERMS : RightsTerms.DEFAULT;
     }
 
     /**
@@ -123,6 +147,9 @@
             long at = t;
             schedule(at, this::injectFault);
         }
+        if (faults.platformDown()) {
+            schedule(Duration.ofMinutes(1).toNanos(), () -> Arrays.fill(platformCut, true));
+        }
         while (!events.isEmpty() && violation == null && now < length.toNanos()) {
             Event e = events.poll();
             now = e.at();
@@ -133,7 +160,7 @@
     }
 
     private void boot(int h) {
-        Process p = new Process(h, 1 + now / MILLI);
+        Process p = new Process(h, 1 + now / MILLI, terms);
         processes[h] = p;
         tick(p);
     }
@@ -142,6 +169,7 @@
         whenRunning(p, () -> {
             ShardRights r = p.rights;
             pollPlatform(p);
+            hearFrom(p, processes[random.nextInt(HOSTS.length)]);
             long t = local(p);
             r.renew(t).ifPresent(q -> send(p, q));
             pursueSeizure(p);
@@ -160,13 +188,13 @@
         }
         String self = HOSTS[p.host];
         if (!row.holder().equals(self) || row.unsettled().isEmpty()) {
-            if (!row.names(self) && faults.events() > 0 && random.nextInt(SEIZURE_ODDS) == 0) {
+            if (!row.names(self) && faults.loss() > 0 && random.nextInt(SEIZURE_ODDS) == 0) {
                 write(p, ShardRules.seizure(row, self));
             }
             return;
         }
         if (p.seizure == null || p.seizure.row().epoch() != row.epoch()) {
-            p.seizure = new SeizureProgress(row, TERMS, local(p));
+            p.seizure = new SeizureProgress(row, terms, local(p));
         }
         for (String host : row.unsettled()) {
             if (p.seizure.isAwaited(host)) {
@@ -225,6 +253,15 @@
         });
     }
 
+    // Gossip: the row that another daemon goes by, however old.
+    private void hearFrom(Process p, Process other) {
+        boolean silent = other == null || other == p || now < other.pausedUntil || cut[other.host][p.host] || lost();
+        if (!silent) {
+            ShardEntry row = other.rights.entry();
+            schedule(now + delay(), () -> whenRunning(p, () -> p.rights.learn(row, local(p))));
+        }
+    }
+
     private void write(Process p, ShardEntry row) {
         p.awaitsPlatform = true;
         long asked = local(p);
@@ -304,18 +341,18 @@
         int h = random.nextInt(HOSTS.length);
         int other = random.nextInt(HOSTS.length);
         Process p = processes[h];
-        switch (random.nextInt(7)) {
-            case 0 -> cutLink(h, other);
-            case 1 -> pause(p, Duration.ofSeconds(random.nextInt(40)));
-            case 2 -> restart(h, Duration.ofMillis(random.nextInt(1, 30_000)));
-            case 3 -> leave(h);
-            case 4 -> cutPlatform(h);
-            case 5 -> {
+        switch (faults.kinds().get(random.nextInt(faults.kinds().size()))) {
+            case ONE_WAY -> cutLink(h, other);
+            case PAUSE -> pause(p, Duration.ofSeconds(random.nextInt(40)));
+            case CRASH -> restart(h, Duration.ofMillis(random.nextInt(1, 30_000)));
+            case RESTART -> leave(h);
+            case HOST_WITHOUT_PLATFORM -> cutPlatform(h);
+            case PLATFORM_AWAY -> {
                 for (int i = 0; i < HOSTS.length; i++) {
                     cutPlatform(i);
                 }
             }
-            default -> {
+            case CUT -> {
                 cutLink(h, other);
                 cutLink(other, h);
             }
@@ -399,7 +436,8 @@
     }
 
     private long delay() {
-        return random.nextInt(10) == 0 ? random.nextInt(1, 3000) * MILLI : random.nextInt(1, 5) * MILLI;
+        boolean slow = faults.loss() > 0 && random.nextInt(10) == 0;
+        return slow ? random.nextInt(1, 3000) * MILLI : random.nextInt(1, 5) * MILLI;
     }
 
     private boolean lost() {
--- a/daemon/src/main/java/io/fuchsiastand/daemon/Daemon.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/Daemon.java
@@ -30,6 +30,7 @@
     private final GossipController gossip;
     private final BackendController backends;
     private final LimitController limits;
+    private final IdempotencyController idempotency;
     private final PlatformController platform;
     private final CallerService callers;
     private final Metrics metrics = new Metrics();
@@ -59,7 +60,7 @@
         backends = new BackendController(board, transport);
         limits = new LimitController(board, peers);
         LimitClient acquirer = new LimitClient(board, peers, limits);
-        IdempotencyController idempotency = new IdempotencyController(board, peers, limits);
+        idempotency = new IdempotencyController(board, peers, limits);
         store = new HttpObjectStore(
                 settings.platform().host(), settings.platform().port(), PlatformController.WATCH_WAIT);
         ObjectStore objects = store;
@@ -74,7 +75,7 @@
         servers.add(transport.dataServer(p.data(), owner));
         servers.add(transport.adminServer(p.admin(), new AdminService(board, backends, metrics, this::status)));
         callerServer = transport.callerServer(p.callers(), callers);
-        startThreads(idempotency);
+        startThreads();
         Logger.info(
                 "host {} in data centre {} takes calls on port {}",
                 settings.host(),
@@ -131,8 +132,8 @@
         }
     }
 
-    Blackboard board() {
-        return board;
+    boolean isHandedOver() {
+        return idempotency.isHandedOver();
     }
 
     private void startControllers() {
@@ -147,7 +148,7 @@
                 () -> board.configuration().get().configuration().version());
     }
 
-    private void startThreads(IdempotencyController idempotency) {
+    private void startThreads() {
         every(IdempotencyController.TICK, idempotency::tick);
         every(Gossip.TICK, gossip::tick);
         every(BackendController.TICK, backends::tick);
--- a/daemon/src/main/java/io/fuchsiastand/daemon/IdempotencyController.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/IdempotencyController.java
@@ -94,6 +94,22 @@
         });
     }
 
+    /**
+     * Tells whether the partner of each shard has been given the keys.
+     *
+     * @return true if no handover is due
+     */
+    boolean isHandedOver() {
+        return limits.shards().entrySet().stream().allMatch(e -> {
+            ShardEntry row = e.getValue().rights().entry();
+            long start = e.getValue().rights().partnerStart();
+            String partner = row.partnerOf(board.settings().host());
+            return !row.names(board.settings().host())
+                    || partner.isEmpty()
+                    || new Handover(partner, start).equals(handovers.get(e.getKey()));
+        });
+    }
+
     /**
      * Takes over the keys of a partner.
      *
--- a/daemon/src/test/java/io/fuchsiastand/daemon/FleetFailureTest.java
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/FleetFailureTest.java
@@ -137,8 +137,7 @@
             Daemon again = restart(i);
             Fleet.await("it is ready", () -> again.status().lifecycle() == Lifecycle.READY);
             Fleet.await("every shard has a pair with all rights", () -> isPaired() && halves() == 16);
-            // Partners hand over the keys right after they have met.
-            Thread.sleep(1500);
+            Fleet.await("keys are handed over", () -> fleet.daemons.stream().allMatch(Daemon::isHandedOver));
         }
         for (int i = 0; i < 3; i++) {
             assertThat(order(i)).isEqualTo(409);
--- a/tools/src/main/java/io/fuchsiastand/tools/StatusCommand.java
+++ b/tools/src/main/java/io/fuchsiastand/tools/StatusCommand.java
@@ -50,16 +50,37 @@
             }
         });
         backends(b, s.path("backends"));
-        int usable = 0;
+        shards(b, s);
+        return b.toString().stripTrailing();
+    }
+
+    private static void shards(StringBuilder b, JsonNode s) {
+        String host = s.path("host").asText();
+        int holds = 0;
+        int whole = 0;
+        int stands = 0;
         for (JsonNode shard : s.path("shards")) {
-            usable += shard.path("halves").asInt() > 0 ? 1 : 0;
+            if (shard.path("holder").asText().equals(host)) {
+                holds++;
+                whole += shard.path("halves").asInt() == 2 ? 1 : 0;
+            } else {
+                stands++;
+            }
         }
-        line(
-                b,
-                "shards held here %d, of which %d can grant now",
-                s.path("shards").size(),
-                usable);
-        return b.toString().stripTrailing();
+        line(b, "shards: holder of %d, of which %d grant in full; standby of %d", holds, whole, stands);
+        s.path("shards").forEach(n -> {
+            if (n.path("holder").asText().equals(host) && n.path("halves").asInt() < 2) {
+                line(
+                        b,
+                        "  shard %d grants %d of 2 halves, epoch %d, standby %s",
+                        n.path("shard").asInt(),
+                        n.path("halves").asInt(),
+                        n.path("epoch").asLong(),
+                        n.path("standby").asText().isEmpty()
+                                ? "none"
+                                : n.path("standby").asText());
+            }
+        });
     }
 
     private static void backends(StringBuilder b, JsonNode list) {
