Forget hosts that are gone for good

Join records of crashed hosts stayed too. Change: members that are forgotten take their records and backend servers with them; records of unknown hosts are not taken back; one daemon deletes the join records of the long dead. The two platform threads count their failures apart. Conclusion: state is bounded by the fleet as it is, not by its history.

--- a/core/src/main/java/io/fuchsiastand/membership/Membership.java
+++ b/core/src/main/java/io/fuchsiastand/membership/Membership.java
@@ -49,6 +49,7 @@
     private final Map<String, Member> members = new LinkedHashMap<>();
     private final Map<String, Integer> pending = new LinkedHashMap<>();
     private final List<Consumer<Member>> listeners = new ArrayList<>();
+    private final List<Consumer<String>> forgotten = new ArrayList<>();
     private final Map<String, long[]> ringPositions = new HashMap<>();
     // Null after a change; made again when it is asked for, as changes come in great number when a daemon joins.
     private List<Member> neighbours = List.of();
@@ -79,6 +80,15 @@
         listeners.add(listener);
     }
 
+    /**
+     * Registers a listener for members that are forgotten, long after they died or left.
+     *
+     * @param listener called with the name of the host
+     */
+    public synchronized void listenForgotten(Consumer<String> listener) {
+        forgotten.add(listener);
+    }
+
     /**
      * Returns this daemon.
      *
@@ -191,6 +201,7 @@
                 members.remove(m.host());
                 pending.remove(m.host());
                 ringPositions.remove(m.host());
+                forgotten.forEach(l -> l.accept(m.host()));
             }
         }
     }
--- a/core/src/main/java/io/fuchsiastand/replication/RecordStore.java
+++ b/core/src/main/java/io/fuchsiastand/replication/RecordStore.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 
 import com.google.protobuf.ByteString;
 import io.fuchsiastand.key.Digests;
@@ -42,6 +43,7 @@
     private final long[] hashes = new long[BUCKETS];
     private final Map<String, Integer> rumours = new LinkedHashMap<>();
     private final List<Consumer<Record>> listeners = new ArrayList<>();
+    private Predicate<String> useful = name -> true;
 
     /**
      * Registers a listener for accepted records.
@@ -52,6 +54,15 @@
         listeners.add(listener);
     }
 
+    /**
+     * Sets which records are kept. Without this, records of hosts that are gone would come back from peers for ever.
+     *
+     * @param names tells whether a record of this name is of use
+     */
+    public synchronized void filter(Predicate<String> names) {
+        useful = names;
+    }
+
     /**
      * Stores a record if it is newer than the one at hand.
      *
@@ -61,6 +72,9 @@
      */
     public boolean put(Record record, int fleetSize) {
         synchronized (this) {
+            if (!useful.test(record.getName())) {
+                return false;
+            }
             if (isContent(record.getName())) {
                 if (contents.putIfAbsent(record.getName(), record) != null) {
                     return false;
--- a/core/src/test/java/io/fuchsiastand/membership/MembershipTest.java
+++ b/core/src/test/java/io/fuchsiastand/membership/MembershipTest.java
@@ -66,6 +66,21 @@
         assertThat(state("b")).isEqualTo(MemberState.LEFT);
     }
 
+    @Test
+    void forgetsTheDeadAfterAWhileAndTellsSo() {
+        List<String> forgotten = new ArrayList<>();
+        a.listenForgotten(forgotten::add);
+        join(a, "b");
+        a.suspect("b");
+        clock.advance(Membership.SUSPICION);
+        a.expire();
+        assertThat(forgotten).isEmpty();
+        clock.advance(Membership.MEMORY_OF_DEAD);
+        a.expire();
+        assertThat(forgotten).containsExactly("b");
+        assertThat(a.find("b")).isEmpty();
+    }
+
     @Test
     void reachesEveryMemberThroughAFewNeighboursEach() {
         int n = 300;
--- a/core/src/test/java/io/fuchsiastand/replication/RecordStoreTest.java
+++ b/core/src/test/java/io/fuchsiastand/replication/RecordStoreTest.java
@@ -70,6 +70,14 @@
         assertThat(versions).containsExactly(1L, 3L).inOrder();
     }
 
+    @Test
+    void doesNotTakeBackRecordsThatAreOfNoUseAnyMore() {
+        b.put(record("host/gone", 1), 3);
+        a.filter(n -> !n.equals("host/gone"));
+        sync();
+        assertThat(a.get("host/gone")).isEmpty();
+    }
+
     private void sync() {
         Optional<SyncRequest> next = a.continueSync("a", b.answerSync(a.startSync("a")));
         next.ifPresent(request -> {
--- a/daemon/src/main/java/io/fuchsiastand/daemon/DirectoryController.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/DirectoryController.java
@@ -29,6 +29,18 @@
     public void start() {
         board.records().listen(this::onRecord);
         board.members().listen(this::onMember);
+        board.members().listenForgotten(this::onForgotten);
+        board.records()
+                .filter(n -> !n.startsWith(HostRecord.PREFIX)
+                        || board.members()
+                                .find(n.substring(HostRecord.PREFIX.length()))
+                                .isPresent());
+    }
+
+    // A host that is gone for good must not count as missing capacity, nor its record travel on.
+    private void onForgotten(String host) {
+        board.directory().forget(host);
+        board.records().remove(HostRecord.PREFIX + host);
     }
 
     private void onRecord(Record r) {
--- a/daemon/src/main/java/io/fuchsiastand/daemon/PlatformController.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/PlatformController.java
@@ -1,10 +1,13 @@
 package io.fuchsiastand.daemon;
 
 import java.time.Duration;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.UUID;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Supplier;
 
 import io.fuchsiastand.config.ConfigurationCodec;
@@ -20,6 +23,7 @@
 import io.fuchsiastand.platform.RetryingObjectStore;
 import io.fuchsiastand.platform.Snapshot;
 import io.fuchsiastand.platform.StoredObject;
+import io.fuchsiastand.protocol.MemberState;
 import io.fuchsiastand.protocol.Record;
 import io.fuchsiastand.replication.RecordStore;
 import org.tinylog.Logger;
@@ -38,6 +42,7 @@
 
     private static final int RELAYS = 2;
     private static final Duration IDLE = Duration.ofMillis(500);
+    private static final Duration LONG_DEAD = Duration.ofMinutes(5);
     private static final List<String> PREFIXES =
             List.of("config/", KeyBucket.PREFIX, ShardEntry.PREFIX, ShardSeizure.GONE);
 
@@ -48,10 +53,12 @@
     private final GossipController gossip;
     private final Supplier<List<String>> missing;
     private final SplittableRandom random = new SplittableRandom();
+    private final Set<String> cleaned = new HashSet<>();
     private volatile boolean loaded;
     private volatile boolean running = true;
     private boolean joined;
-    private int failures;
+    private final AtomicInteger watchFailures = new AtomicInteger();
+    private final AtomicInteger writeFailures = new AtomicInteger();
     private long revision;
 
     /**
@@ -98,7 +105,7 @@
     /** Watches the platform until stopped. Blocks; runs on a thread of its own. */
     public void watchLoop() {
         while (running) {
-            attempt(() -> {
+            attempt(watchFailures, () -> {
                 if (!loaded) {
                     load();
                 } else if (isRelay()) {
@@ -114,13 +121,14 @@
     /** Writes to the platform until stopped. Blocks; runs on a thread of its own. */
     public void writeLoop() {
         while (running) {
-            attempt(() -> {
+            attempt(writeFailures, () -> {
                 if (loaded) {
                     join();
                     writer.bootstrap();
                     writer.tick();
                     fetchContent();
                     writeWithdrawals();
+                    removeJoinRecordsOfTheDead();
                 }
                 pause(IDLE);
             });
@@ -282,21 +290,36 @@
         }
     }
 
+    // A host that crashed for good cannot take its join record with it.
+    private void removeJoinRecordsOfTheDead() {
+        long now = board.clock().nanoTime();
+        boolean first = Membership.rendezvous("clean-up", board.members().reachable())
+                .get(0)
+                .host()
+                .equals(board.settings().host());
+        for (Member m : board.members().all()) {
+            boolean longDead = m.state() == MemberState.DEAD && now - m.since() > LONG_DEAD.toNanos();
+            if (first && longDead && cleaned.add(m.host() + '@' + m.incarnation())) {
+                String name = MEMBERS + m.host();
+                store.get(name).ifPresent(o -> store.delete(name, o.version()));
+            }
+        }
+    }
+
     private void touch() {
         Freshness f = board.freshness().get();
         board.freshness().set(new Freshness(board.clock().nanoTime(), f.peer()));
     }
 
-    private void attempt(Runnable work) {
+    private void attempt(AtomicInteger failures, Runnable work) {
         try {
             work.run();
-            failures = 0;
+            failures.set(0);
         } catch (FuchsiastandException e) {
-            failures++;
-            if (failures == 1) {
+            if (failures.incrementAndGet() == 1) {
                 Logger.warn("{} {}", e.code().code(), e.getMessage());
             }
-            pause(RetryingObjectStore.delay(Math.min(failures, 20), random));
+            pause(RetryingObjectStore.delay(Math.min(failures.get(), 20), random));
         } catch (RuntimeException e) {
             Logger.error(e, "work with the platform failed");
             pause(IDLE);
