Store records and read numbers from headers in one place each

Cause: ten places wrapped a name, a version and a value into a record with the fleet's size, and two classes parsed numbers of headers alike. Reading the change also showed that a claim whose answer was lost is not recognised as the daemon's own. Change: Blackboard.keep and two readers in HeaderNames; behaviour is the same. Conclusion: one place each; the resolution of lost answers belongs in RetryingObjectStore and is open.

--- a/daemon/src/main/java/io/fuchsiastand/daemon/AdminService.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/AdminService.java
@@ -10,7 +10,6 @@
 import io.fuchsiastand.key.Digests;
 import io.fuchsiastand.key.KeyBucket;
 import io.fuchsiastand.key.TeamKey;
-import io.fuchsiastand.replication.RecordStore;
 import io.servicetalk.http.api.BlockingHttpService;
 import io.servicetalk.http.api.HttpRequest;
 import io.servicetalk.http.api.HttpRequestMethod;
@@ -161,8 +160,7 @@
         if (digest.length() != DIGEST_LENGTH || !digest.matches("[A-Za-z0-9_-]+")) {
             return Answer.text(HttpResponseStatus.BAD_REQUEST, "a key digest has 43 base64url characters");
         }
-        board.records()
-                .put(RecordStore.record(KeyBucket.WITHDRAWAL_PREFIX + digest, 1, new byte[0]), board.fleetSize());
+        board.keep(KeyBucket.WITHDRAWAL_PREFIX + digest, 1, new byte[0]);
         return Answer.text(HttpResponseStatus.OK, "withdrawn");
     }
 
--- a/daemon/src/main/java/io/fuchsiastand/daemon/Blackboard.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/Blackboard.java
@@ -155,6 +155,17 @@
         return start;
     }
 
+    /**
+     * Stores a record if it is newer than the one at hand, and passes it on.
+     *
+     * @param name its name
+     * @param version its version
+     * @param value its content
+     */
+    public void keep(String name, long version, byte[] value) {
+        records.put(RecordStore.record(name, version, value), fleetSize());
+    }
+
     /**
      * Returns the number of members that can be reached.
      *
--- a/daemon/src/main/java/io/fuchsiastand/daemon/Dispatcher.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/Dispatcher.java
@@ -209,7 +209,7 @@
         String server = call.candidate.host() + '/' + call.candidate.server().id();
         ServerSummary.parse(h.get(HeaderNames.SUMMARY))
                 .ifPresent(x -> baseline(service).observe(server, x));
-        call.end((int) decimalOr(h.get(HeaderNames.LOAD), -1));
+        call.end((int) HeaderNames.decimal(h.get(HeaderNames.LOAD), -1));
         boolean failed = status >= SERVER_ERROR && status != NOT_IMPLEMENTED;
         if (failed && a.mayRepeat(notRun)) {
             return r.messageBody().ignoreElements().onErrorComplete().concat(defer(() -> retry(a)));
@@ -248,12 +248,4 @@
         CharSequence v = h.get(HeaderNames.RUN_STATE);
         return v != null && HeaderNames.NOT_RUN.contentEquals(v);
     }
-
-    private static double decimalOr(CharSequence value, double fallback) {
-        try {
-            return value == null ? fallback : Double.parseDouble(value.toString());
-        } catch (NumberFormatException e) {
-            return fallback;
-        }
-    }
 }
--- a/daemon/src/main/java/io/fuchsiastand/daemon/HeaderNames.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/HeaderNames.java
@@ -86,4 +86,34 @@
         });
         own.forEach(headers::remove);
     }
+
+    /**
+     * Reads a whole number.
+     *
+     * @param value the value of a header, or null
+     * @param fallback the number if there is none
+     * @return the number
+     */
+    static long number(CharSequence value, long fallback) {
+        try {
+            return value == null ? fallback : Long.parseLong(value.toString());
+        } catch (NumberFormatException e) {
+            return fallback;
+        }
+    }
+
+    /**
+     * Reads a number.
+     *
+     * @param value the value of a header, or null
+     * @param fallback the number if there is none
+     * @return the number
+     */
+    static double decimal(CharSequence value, double fallback) {
+        try {
+            return value == null ? fallback : Double.parseDouble(value.toString());
+        } catch (NumberFormatException e) {
+            return fallback;
+        }
+    }
 }
--- a/daemon/src/main/java/io/fuchsiastand/daemon/OwnerService.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/OwnerService.java
@@ -59,9 +59,10 @@
     public Single<StreamingHttpResponse> handle(
             HttpServiceContext context, StreamingHttpRequest request, StreamingHttpResponseFactory factory) {
         HttpHeaders h = request.headers();
-        long millis = number(h.get(HeaderNames.DEADLINE), DEFAULT_DEADLINE_MILLIS);
-        Baseline baseline =
-                new Baseline(decimal(h.get(HeaderNames.BASELINE_FAILURES)), decimal(h.get(HeaderNames.BASELINE_SLOW)));
+        long millis = HeaderNames.number(h.get(HeaderNames.DEADLINE), DEFAULT_DEADLINE_MILLIS);
+        Baseline baseline = new Baseline(
+                HeaderNames.decimal(h.get(HeaderNames.BASELINE_FAILURES), 0),
+                HeaderNames.decimal(h.get(HeaderNames.BASELINE_SLOW), 0));
         OwnedCall call = new OwnedCall(
                 text(h.get(HeaderNames.BACKEND)),
                 text(h.get(HeaderNames.SERVICE)),
@@ -193,20 +194,4 @@
     private static String text(CharSequence value) {
         return value == null ? "" : value.toString();
     }
-
-    private static long number(CharSequence value, long fallback) {
-        try {
-            return value == null ? fallback : Long.parseLong(value.toString());
-        } catch (NumberFormatException e) {
-            return fallback;
-        }
-    }
-
-    private static double decimal(CharSequence value) {
-        try {
-            return value == null ? 0 : Double.parseDouble(value.toString());
-        } catch (NumberFormatException e) {
-            return 0;
-        }
-    }
 }
--- a/daemon/src/main/java/io/fuchsiastand/daemon/PlatformController.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/PlatformController.java
@@ -25,7 +25,6 @@
 import io.fuchsiastand.platform.StoredObject;
 import io.fuchsiastand.protocol.MemberState;
 import io.fuchsiastand.protocol.Record;
-import io.fuchsiastand.replication.RecordStore;
 import org.tinylog.Logger;
 
 /**
@@ -213,7 +212,7 @@
     }
 
     private void take(StoredObject o, long askedAt) {
-        board.records().put(RecordStore.record(o.name(), o.version(), o.value()), board.fleetSize());
+        board.keep(o.name(), o.version(), o.value());
         if (o.name().startsWith(ShardEntry.PREFIX) && !o.name().equals(LimitController.META)) {
             limits.confirm(Json.read(o.value(), ShardEntry.class), askedAt);
         }
@@ -242,8 +241,7 @@
             if (!isRelay() && name.startsWith(ConfigurationCodec.CHUNK_PREFIX) && board.fleetSize() > RELAYS) {
                 return;
             }
-            store.get(name).ifPresent(o -> board.records()
-                    .put(RecordStore.record(name, o.version(), o.value()), board.fleetSize()));
+            store.get(name).ifPresent(o -> board.keep(name, o.version(), o.value()));
         }
     }
 
@@ -279,7 +277,7 @@
                 try {
                     long version = store.put(
                             bucket, value, o.version(), UUID.randomUUID().toString());
-                    board.records().put(RecordStore.record(bucket, version, value), board.fleetSize());
+                    board.keep(bucket, version, value);
                 } catch (FuchsiastandException e) {
                     if (e.code() != ErrorCode.CONFLICT) {
                         throw e;
--- a/daemon/src/main/java/io/fuchsiastand/daemon/ShardSeizure.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/ShardSeizure.java
@@ -16,7 +16,6 @@
 import io.fuchsiastand.platform.ObjectStore;
 import io.fuchsiastand.platform.StoredObject;
 import io.fuchsiastand.protocol.Record;
-import io.fuchsiastand.replication.RecordStore;
 import org.tinylog.Logger;
 
 /**
@@ -129,12 +128,11 @@
                 throw e;
             }
             if (found != null) {
-                board.records()
-                        .put(RecordStore.record(found.name(), found.version(), found.value()), board.fleetSize());
+                board.keep(found.name(), found.version(), found.value());
             }
             return mine;
         }
-        board.records().put(RecordStore.record(to.name(), version, value), board.fleetSize());
+        board.keep(to.name(), version, value);
         return true;
     }
 }
--- a/daemon/src/main/java/io/fuchsiastand/daemon/ShardTableWriter.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/ShardTableWriter.java
@@ -18,7 +18,6 @@
 import io.fuchsiastand.platform.ObjectStore;
 import io.fuchsiastand.platform.StoredObject;
 import io.fuchsiastand.protocol.MemberState;
-import io.fuchsiastand.replication.RecordStore;
 import org.tinylog.Logger;
 
 /**
@@ -136,7 +135,7 @@
             synchronized (shard) {
                 shard.rights().claimed(w.row(), board.clock().nanoTime());
             }
-            board.records().put(RecordStore.record(w.row().name(), version, value), board.fleetSize());
+            board.keep(w.row().name(), version, value);
             Logger.info(
                     "shard {} is in epoch {} with {} and {}",
                     number,
@@ -163,7 +162,7 @@
         long asked = board.clock().nanoTime();
         Optional<StoredObject> found = store.get(ShardEntry.name(number));
         found.ifPresent(o -> {
-            board.records().put(RecordStore.record(o.name(), o.version(), o.value()), board.fleetSize());
+            board.keep(o.name(), o.version(), o.value());
             limits.confirm(Json.read(o.value(), ShardEntry.class), asked);
         });
         return found.map(o -> Json.read(o.value(), ShardEntry.class));
@@ -201,13 +200,12 @@
         try {
             long version = store.put(
                     name, value, StoredObject.ABSENT, UUID.randomUUID().toString());
-            board.records().put(RecordStore.record(name, version, value), board.fleetSize());
+            board.keep(name, version, value);
         } catch (FuchsiastandException e) {
             if (e.code() != ErrorCode.CONFLICT && e.code() != ErrorCode.UNRESOLVED) {
                 throw e;
             }
-            store.get(name).ifPresent(o -> board.records()
-                    .put(RecordStore.record(o.name(), o.version(), o.value()), board.fleetSize()));
+            store.get(name).ifPresent(o -> board.keep(o.name(), o.version(), o.value()));
         }
     }
 
