Log calls without a slot, refusals passed on and backend servers that get no calls

Owners now log 'no slot' with load and slots, ingress daemons log 'refusal passed on' with the number of attempts, and an owner logs once that an ejected backend server, or one whose circuit breaker rejects calls, got no call for 2 s. No decision changes.

--- a/core/src/main/java/io/fuchsiastand/health/FaultCircuitBreaker.java
+++ b/core/src/main/java/io/fuchsiastand/health/FaultCircuitBreaker.java
@@ -87,6 +87,17 @@
         return true;
     }
 
+    /**
+     * Returns whether non-idempotent calls are rejected.
+     *
+     * @param now monotonic time
+     * @return true if the probability of a faulty phase is too high for them
+     */
+    public synchronized boolean rejectsNonIdempotentCalls(long now) {
+        decay(now);
+        return logOdds > MAX_NON_IDEMPOTENT_LOG_ODDS;
+    }
+
     /**
      * Records that a call succeeded.
      *
--- a/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/Dispatcher.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/Dispatcher.java
@@ -459,6 +459,22 @@
         if (failed && a.tryRetry(notRun, notSent)) {
             return r.messageBody().ignoreElements().onErrorComplete().concat(defer(() -> retry(a)));
         }
+        CharSequence refusedBy = h.get(HeaderNames.REFUSED_BY);
+        if (refusedBy != null) {
+            log.write(
+                    "refusal passed on",
+                    idOf(a),
+                    "service",
+                    a.service,
+                    "host",
+                    refusedBy,
+                    "status",
+                    status,
+                    "not run",
+                    notRun,
+                    "picks",
+                    a.attempts);
+        }
         CharSequence runState = h.get(HeaderNames.RUN_STATE);
         HeaderNames.removeInternal(h);
         if (runState != null) {
--- a/daemon/src/main/java/io/fuchsiastand/daemon/owner/LocalBackend.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/owner/LocalBackend.java
@@ -1,5 +1,6 @@
 package io.fuchsiastand.daemon.owner;
 
+import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
@@ -14,6 +15,7 @@
 import io.fuchsiastand.routing.BackendState;
 import io.fuchsiastand.time.Clock;
 import io.servicetalk.http.api.StreamingHttpClient;
+import org.tinylog.Logger;
 
 /** A backend server of this host: its announcement, its queue and slots, its health and its calls in flight. */
 public final class LocalBackend {
@@ -27,6 +29,7 @@
     // A call whose end was not reported this long after its deadline is recorded as cancelled, so that its slot is
     // released. This does not cancel the exchange with the backend server.
     private static final long LEAK_GRACE_NANOS = 5_000_000_000L;
+    private static final long EXCLUSION_REPORT_NANOS = 2_000_000_000L;
 
     private volatile Announcement announcement;
     private final StreamingHttpClient client;
@@ -39,6 +42,8 @@
     // The newest baseline that a call carried. If the whole service slows down, calls are compared with its new speed.
     private volatile Baseline baseline = Baseline.UNKNOWN;
     private volatile long expiresAt;
+    private volatile long lastCallNanos;
+    private volatile boolean idleReported;
 
     /**
      * The announcement by which a backend server registers itself and renews its registration.
@@ -191,6 +196,7 @@
         this.clock = clock;
         queue = new FairQueue(announcement.slots(), service.queue(), clock);
         health = new BackendHealth(service.detection(), clock.nanoTime());
+        lastCallNanos = clock.nanoTime();
         renew(announcement);
     }
 
@@ -262,6 +268,8 @@
         }
         InFlightCall c = new InFlightCall(permit, call);
         calls.put(c.number, c);
+        lastCallNanos = c.startNanos;
+        idleReported = false;
         return c;
     }
 
@@ -292,6 +300,21 @@
     public void tick(long now) {
         calls.values().forEach(c -> c.checkOverdue(now));
         health.applyDueChanges(now);
+        reportExclusion(now);
+    }
+
+    // Reports once that the backend server gets no calls because it is ejected or its circuit breaker rejects them.
+    private void reportExclusion(long now) {
+        boolean excluded = health.state() == BackendState.EJECTED || circuitBreaker.rejectsNonIdempotentCalls(now);
+        if (excluded && !idleReported && now - lastCallNanos >= EXCLUSION_REPORT_NANOS) {
+            idleReported = true;
+            Logger.warn(
+                    "backend server {} got no call for {} ms: state {}, probability of a fault {}",
+                    announcement.id(),
+                    (now - lastCallNanos) / 1_000_000,
+                    health.state(),
+                    String.format(Locale.ROOT, "%.2f", circuitBreaker.faultProbability(now)));
+        }
     }
 
     /**
--- a/daemon/src/main/java/io/fuchsiastand/daemon/owner/OwnerService.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/owner/OwnerService.java
@@ -173,18 +173,36 @@
                                 result.onSuccess(permit);
                             }
                         },
-                        code -> result.onError(RefusalException.notSent(
-                                code, code.title(), backend.queue().estimatedWaitMillis())));
+                        code -> {
+                            logNoSlot(backend, call, code);
+                            result.onError(RefusalException.notSent(
+                                    code, code.title(), backend.queue().estimatedWaitMillis()));
+                        });
         long maxWaitNanos = (long) (MAX_QUEUE_WAIT_SHARE * (call.deadline() - clock.nanoTime()));
         return fromSource(result)
                 .beforeCancel(s::cancel)
                 .timeout(Duration.ofNanos(Math.max(1, maxWaitNanos)), timer)
-                .onErrorMap(
-                        TimeoutException.class,
-                        e -> RefusalException.notSent(
-                                ErrorCode.QUEUE_FULL,
-                                "the call got no slot within a quarter of its time",
-                                backend.queue().estimatedWaitMillis()));
+                .onErrorMap(TimeoutException.class, e -> {
+                    logNoSlot(backend, call, ErrorCode.QUEUE_FULL);
+                    return RefusalException.notSent(
+                            ErrorCode.QUEUE_FULL,
+                            "the call got no slot within a quarter of its time",
+                            backend.queue().estimatedWaitMillis());
+                });
+    }
+
+    private void logNoSlot(LocalBackend backend, BackendCall call, ErrorCode code) {
+        log.write(
+                "no slot",
+                idOf(call),
+                "server",
+                call.backend(),
+                "code",
+                code.code(),
+                "load",
+                backend.queue().load(),
+                "slots",
+                backend.announcement().slots());
     }
 
     /** Request of a call for a slot. Passes the permit to the call, or releases it if the request was cancelled. */
