Limit the header and trailer sections of responses

A backend server in trouble may send bytes that are no answer until the daemon closes the connection. Header fields or trailer fields without end occupied a call until its deadline, and all of them were kept in memory: 10 to 16 MB of fields were read from one connection in 1.5 s, and the daemon has a heap of 64 MB.

Cause: ServiceTalk limits the length of each field, but not their number. Ruled out: a start line, one field, blank lines, control characters, interim responses, chunk sizes and chunk extensions without end; these failed within 0.2 s before.

A handler before the decoder counts the bytes that arrive before a section or a part of the body is complete. Above 64 KB the response fails as one of a backend server that failed during the call: 502 with the run state unknown, or a body that is broken off, and a failure in the health of that backend server.

Before: EndlessResponseTest failed for header fields (504 at the deadline in place of 502), for trailer fields (1.50 s, the deadline) and for counting the failures. After: it passes.

--- a/daemon/src/main/java/io/fuchsiastand/daemon/http/DeadConnectionDetection.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/http/DeadConnectionDetection.java
@@ -7,15 +7,8 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.epoll.EpollChannelOption;
 import io.netty.channel.epoll.EpollSocketChannel;
-import io.servicetalk.client.api.ConnectionFactory;
 import io.servicetalk.client.api.ConnectionFactoryFilter;
-import io.servicetalk.client.api.DelegatingConnectionFactory;
-import io.servicetalk.concurrent.api.Single;
-import io.servicetalk.context.api.ContextMap;
 import io.servicetalk.http.api.FilterableStreamingHttpConnection;
-import io.servicetalk.transport.api.ExecutionStrategy;
-import io.servicetalk.transport.api.TransportObserver;
-import io.servicetalk.transport.netty.internal.NettyConnectionContext;
 
 /**
  * Sets socket options with which the operating system closes connections whose other side is silently unreachable, that is,
@@ -42,7 +35,7 @@
      * @return the filter
      */
     public static ConnectionFactoryFilter<InetSocketAddress, FilterableStreamingHttpConnection> forCalls() {
-        return filter(false);
+        return ConnectionFilters.onConnect(c -> setOptions(c, false));
     }
 
     /**
@@ -51,36 +44,7 @@
      * @return the filter
      */
     public static ConnectionFactoryFilter<InetSocketAddress, FilterableStreamingHttpConnection> forWatches() {
-        return filter(true);
-    }
-
-    private static ConnectionFactoryFilter<InetSocketAddress, FilterableStreamingHttpConnection> filter(
-            boolean sendProbes) {
-        return ConnectionFactoryFilter.withStrategy(
-                f -> new DetectingConnectionFactory(f, sendProbes), ExecutionStrategy.offloadNone());
-    }
-
-    private static final class DetectingConnectionFactory
-            extends DelegatingConnectionFactory<InetSocketAddress, FilterableStreamingHttpConnection> {
-
-        private final boolean sendProbes;
-
-        private DetectingConnectionFactory(
-                ConnectionFactory<InetSocketAddress, FilterableStreamingHttpConnection> delegate, boolean sendProbes) {
-            super(delegate);
-            this.sendProbes = sendProbes;
-        }
-
-        @Override
-        public Single<FilterableStreamingHttpConnection> newConnection(
-                InetSocketAddress address, ContextMap context, TransportObserver observer) {
-            return delegate().newConnection(address, context, observer).map(c -> {
-                if (c.connectionContext() instanceof NettyConnectionContext n) {
-                    setOptions(n.nettyChannel(), sendProbes);
-                }
-                return c;
-            });
-        }
+        return ConnectionFilters.onConnect(c -> setOptions(c, true));
     }
 
     private static void setOptions(Channel channel, boolean sendProbes) {
--- a/daemon/src/main/java/io/fuchsiastand/daemon/http/Transport.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/http/Transport.java
@@ -68,6 +68,8 @@
     private static final int CONNECT_TIMEOUT_MILLIS = 300;
     private static final int MAX_START_LINE_LENGTH = 8_192;
     private static final int MAX_HEADER_FIELDS_LENGTH = 16_384;
+    // Limit of the header section of a response, and of its trailer section.
+    private static final int MAX_RESPONSE_HEADER_BYTES = 65_536;
     private static final Duration PEER_IDLE_TIMEOUT = Duration.ofMinutes(5);
     private static final java.util.concurrent.Executor DIRECT_EXECUTOR = Runnable::run;
 
@@ -271,6 +273,7 @@
                 .protocols(http1())
                 .socketOption(ServiceTalkSocketOptions.CONNECT_TIMEOUT, CONNECT_TIMEOUT_MILLIS)
                 .appendConnectionFactoryFilter(DeadConnectionDetection.forCalls())
+                .appendConnectionFactoryFilter(HeaderSizeLimit.forResponses(MAX_RESPONSE_HEADER_BYTES))
                 .hostHeaderFallback(false)
                 // The daemon decides which calls are retried.
                 .appendClientFilter(RetryingHttpRequesterFilter.disableAutoRetries());
--- /dev/null
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/EndlessResponseTest.java
@@ -0,0 +1,163 @@
+package io.fuchsiastand.daemon;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.net.SocketException;
+import java.net.URI;
+import java.net.http.HttpRequest;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+
+import io.fuchsiastand.config.Json;
+import io.fuchsiastand.daemon.owner.LocalBackend;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Tests calls to a backend server that sends bytes without end until the daemon closes the connection. The backend server is
+ * on another host than the daemon that receives the calls.
+ */
+class EndlessResponseTest {
+
+    private static final Duration DEADLINE = Duration.ofMillis(1_500);
+    private static final int MAX_KEPT_CHARS = 200_000;
+    private static final int END_CHARS = 16;
+    private static final String CHUNKED = "transfer-encoding: chunked\r\n\r\n";
+    private static final String CHUNK = "5\r\nsugar\r\n";
+
+    private Fleet fleet;
+    private RawBackendServer backend;
+
+    private record Answer(String text, Duration time) {}
+
+    @BeforeEach
+    void start() throws Exception {
+        fleet = new Fleet(2);
+        backend = new RawBackendServer();
+        LocalBackend.Announcement a = LocalBackend.Announcement.of("raw", "menu", "127.0.0.1", backend.port(), 8, 3600);
+        HttpRequest announce = HttpRequest.newBuilder(URI.create(
+                        "http://127.0.0.1:" + fleet.settings.get(0).ports().admin() + "/v1/backends"))
+                .POST(HttpRequest.BodyPublishers.ofByteArray(Json.write(a)))
+                .build();
+        assertThat(fleet.send(announce).statusCode()).isEqualTo(200);
+        Fleet.await("a call succeeds", () -> {
+            try {
+                return call("POST").text().startsWith("HTTP/1.1 200");
+            } catch (IOException e) {
+                return false;
+            }
+        });
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        backend.close();
+        fleet.close();
+    }
+
+    // Guards against a header section without end, which occupied the call until its deadline and was kept in memory.
+    @ParameterizedTest
+    @ValueSource(strings = {"x", "\r\n", "\0", "HTTP/1.1 200 OK\r\nx-a: |y", "HTTP/1.1 200 OK\r\n|x-a: 1\r\n"})
+    void answers502SoonWhenAHeaderSectionDoesNotEnd(String startAndEndlessBytes) throws Exception {
+        int split = startAndEndlessBytes.indexOf('|');
+        backend.response = startAndEndlessBytes.substring(0, Math.max(0, split));
+        backend.endlessBytes = startAndEndlessBytes.substring(split + 1);
+
+        Answer a = call("POST");
+        assertThat(a.text()).startsWith("HTTP/1.1 502");
+        assertThat(a.text()).contains("fuchsiastand-run-state: unknown");
+        assertThat(a.time()).isLessThan(DEADLINE);
+        awaitConnectionClosed();
+    }
+
+    // Guards against interim responses without end, which are no answer to the call.
+    @Test
+    void answers502SoonWhenInterimResponsesDoNotEnd() throws Exception {
+        backend.response = "";
+        backend.endlessBytes = "HTTP/1.1 100 Continue\r\n\r\n";
+
+        Answer a = call("POST");
+        assertThat(a.text()).startsWith("HTTP/1.1 502");
+        assertThat(a.time()).isLessThan(DEADLINE);
+        awaitConnectionClosed();
+    }
+
+    // Guards against a trailer section without end, which occupied the call until its deadline and was kept in memory.
+    @ParameterizedTest
+    @ValueSource(strings = {CHUNK + "0\r\n|x-b: 1\r\n", CHUNK + "|0", CHUNK + "5;|a"})
+    void breaksOffSoonWhenATrailerSectionOrAChunkHeaderDoesNotEnd(String startAndEndlessBytes) throws Exception {
+        int split = startAndEndlessBytes.indexOf('|');
+        backend.response = "HTTP/1.1 200 OK\r\n" + CHUNKED + startAndEndlessBytes.substring(0, split);
+        backend.endlessBytes = startAndEndlessBytes.substring(split + 1);
+
+        Answer a = call("POST");
+        assertThat(a.text()).startsWith("HTTP/1.1 200");
+        assertThat(a.text()).doesNotContain("\r\n0\r\n");
+        assertThat(a.time()).isLessThan(DEADLINE);
+        awaitConnectionClosed();
+    }
+
+    // Guards against a backend server that sends such bytes and is still held for sound.
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200 OK\r\n|x-a: 1\r\n",
+                "HTTP/1.1 200 OK\r\n" + CHUNKED + CHUNK + "0\r\n|x-b: 1\r\n"
+            })
+    void countsEndlessResponsesAsFailuresOfTheBackendServer(String startAndEndlessBytes) throws Exception {
+        int split = startAndEndlessBytes.indexOf('|');
+        backend.response = startAndEndlessBytes.substring(0, split);
+        backend.endlessBytes = startAndEndlessBytes.substring(split + 1);
+        for (int i = 0; i < 3; i++) {
+            call("GET");
+        }
+        backend.response = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+        backend.endlessBytes = "";
+        // The circuit breaker of the only backend server rejects the call.
+        Answer a = call("POST");
+        assertThat(a.text()).startsWith("HTTP/1.1 503");
+        assertThat(a.text()).contains("fuchsiastand-run-state: not-run");
+    }
+
+    private void awaitConnectionClosed() throws Exception {
+        Fleet.await("the connection to the backend server is closed", () -> backend.events.stream()
+                .anyMatch(e -> e.startsWith("broken: ")));
+    }
+
+    private Answer call(String method) throws IOException {
+        long start = System.nanoTime();
+        try (Socket s = new Socket("127.0.0.1", fleet.settings.get(1).ports().callers())) {
+            s.setSoTimeout(10_000);
+            String request = method + " /menu HTTP/1.1\r\nhost: any\r\nconnection: close\r\nfuchsiastand-deadline-ms: "
+                    + DEADLINE.toMillis() + "\r\nauthorization: Bearer " + Fleet.ZERMATT_KEY
+                    + "\r\ncontent-length: 0\r\n\r\n";
+            s.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+            String text = readUntilClosed(s.getInputStream());
+            return new Answer(text, Duration.ofNanos(System.nanoTime() - start));
+        }
+    }
+
+    // Keeps the first part of a long answer and its end. A daemon may reset the connection when it breaks off an
+    // answer.
+    private static String readUntilClosed(InputStream in) throws IOException {
+        StringBuilder out = new StringBuilder();
+        byte[] buffer = new byte[65_536];
+        try {
+            for (int n = in.read(buffer); n >= 0; n = in.read(buffer)) {
+                if (out.length() > MAX_KEPT_CHARS) {
+                    out.delete(MAX_KEPT_CHARS / 2, out.length() - END_CHARS);
+                }
+                out.append(new String(buffer, 0, n, StandardCharsets.ISO_8859_1));
+            }
+        } catch (SocketException e) {
+            assertThat(out.length()).isGreaterThan(0);
+        }
+        return out.toString();
+    }
+}
--- a/daemon/src/test/java/io/fuchsiastand/daemon/RawBackendServer.java
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/RawBackendServer.java
@@ -18,6 +18,8 @@
  */
 final class RawBackendServer implements AutoCloseable {
 
+    private static final int MAX_BLOCK_BYTES = 4096;
+
     private final ServerSocket server = new ServerSocket(0);
     /**
      * The bytes of each request; also "closed early" if the client closes the connection during the delay, and "broken: "
@@ -27,6 +29,8 @@
 
     volatile String response = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
     volatile boolean closesAfterResponse = true;
+    /** Bytes that follow the response again and again until the client closes the connection; none if empty. */
+    volatile String endlessBytes = "";
     /** The time in milliseconds between a request and its response. */
     volatile int delayMillis;
 
@@ -74,12 +78,24 @@
                 }
                 out.write(response.getBytes(StandardCharsets.ISO_8859_1));
                 out.flush();
+                if (!endlessBytes.isEmpty()) {
+                    writeEndlessly(out);
+                }
             } while (!closesAfterResponse);
         } catch (IOException e) {
             events.add("broken: " + e.getMessage());
         }
     }
 
+    private void writeEndlessly(OutputStream out) throws IOException {
+        byte[] block = endlessBytes
+                .repeat(Math.max(1, MAX_BLOCK_BYTES / endlessBytes.length()))
+                .getBytes(StandardCharsets.ISO_8859_1);
+        while (true) {
+            out.write(block);
+        }
+    }
+
     private boolean isClosedWhileWaiting(Socket socket, InputStream in) throws IOException {
         socket.setSoTimeout(delayMillis);
         try {
