Bound the time of response bodies that do not end

A body without end reached the caller for up to 1.2 s after the deadline of the call (2.5 to 2.8 s for a deadline of 1.5 s). If it belonged to a failed response, the ingress daemon read it until the deadline before it tried another backend server, and then answered that the deadline had passed.

Cause: only the daemon of the backend server's host ended a body at the deadline, and bytes that were already under way came after that. The body of a failed response was read to its end so that the connection could be reused, without a limit. If the ingress daemon cancelled first, the other daemon recorded no failure: the timeout of the head had the same race.

The ingress daemon now ends a response 100 ms after the deadline, so that the other daemon ends it first and counts the failure, and reads the body of a failed response for at most 100 ms.

Before: EndlessResponseTest failed for a body in chunks (2.5 s), for both failed responses and for counting the failures. With the ingress timeout at the deadline itself, counting failed in one run of two.

--- a/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/Dispatcher.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/Dispatcher.java
@@ -70,6 +70,12 @@
     // After its start, a daemon has discovered only a few members and must not use the retry slack of the whole fleet
     // alone.
     private static final int MIN_FLEET_SIZE = 16;
+    // Time for which the body of a failed response is read before the next attempt, so that its connection can be
+    // reused.
+    private static final Duration MAX_DRAIN_TIME = Duration.ofMillis(100);
+    // Time after the deadline in which the daemon of the backend server's host reports that the call ran out of time.
+    // If this daemon cancelled the call at the deadline, that daemon would not count a failure of the backend server.
+    private static final Duration REPORT_TIME = Duration.ofMillis(100);
     private static final Buffer EMPTY_BODY = BufferAllocators.DEFAULT_ALLOCATOR.newBuffer(0);
     private static final int SERVER_ERROR = 500;
     private static final int NOT_IMPLEMENTED = 501;
@@ -393,7 +399,7 @@
         if (!caller.isEmpty()) {
             h.set(HeaderNames.CALLER, caller);
         }
-        return peers.dataClient(m).request(request).timeout(Duration.ofNanos(Math.max(1, left)), timer);
+        return peers.dataClient(m).request(request).timeout(timeUntilDeadline(a).plus(REPORT_TIME), timer);
     }
 
     private Single<StreamingHttpResponse> onError(Attempts a, Attempt attempt, Throwable e) {
@@ -457,7 +463,11 @@
             attempt.end(load);
         }
         if (failed && a.tryRetry(notRun, notSent)) {
-            return r.messageBody().ignoreElements().onErrorComplete().concat(defer(() -> retry(a)));
+            return r.messageBody()
+                    .ignoreElements()
+                    .timeout(MAX_DRAIN_TIME, timer)
+                    .onErrorComplete()
+                    .concat(defer(() -> retry(a)));
         }
         CharSequence refusedBy = h.get(HeaderNames.REFUSED_BY);
         if (refusedBy != null) {
@@ -481,7 +491,12 @@
             h.set(HeaderNames.RUN_STATE, runState);
         }
         metrics.recordCall(a.routed.team(), a.service, board.clock().nanoTime() - a.startNanos);
-        return succeeded(r);
+        Duration timeout = timeUntilDeadline(a).plus(REPORT_TIME);
+        return succeeded(r.transformMessageBody(b -> b.timeoutTerminal(timeout, timer)));
+    }
+
+    private Duration timeUntilDeadline(Attempts a) {
+        return Duration.ofNanos(Math.max(1, a.routed.deadline() - board.clock().nanoTime()));
     }
 
     private Single<StreamingHttpResponse> retry(Attempts a) {
--- a/daemon/src/test/java/io/fuchsiastand/daemon/EndlessResponseTest.java
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/EndlessResponseTest.java
@@ -26,6 +26,7 @@
 class EndlessResponseTest {
 
     private static final Duration DEADLINE = Duration.ofMillis(1_500);
+    private static final Duration MAX_DELAY_AFTER_DEADLINE = Duration.ofMillis(500);
     private static final int MAX_KEPT_CHARS = 200_000;
     private static final int END_CHARS = 16;
     private static final String CHUNKED = "transfer-encoding: chunked\r\n\r\n";
@@ -103,12 +104,48 @@
         awaitConnectionClosed();
     }
 
+    // Guards against a body without end, which the caller received for more than a second after the deadline.
+    @ParameterizedTest
+    @ValueSource(strings = {CHUNKED + "|" + CHUNK, "\r\n|sugar"})
+    void breaksOffABodyWithoutEndAtTheDeadline(String startAndEndlessBytes) throws Exception {
+        int split = startAndEndlessBytes.indexOf('|');
+        backend.response = "HTTP/1.1 200 OK\r\n" + startAndEndlessBytes.substring(0, split);
+        backend.endlessBytes = startAndEndlessBytes.substring(split + 1);
+
+        Answer a = call("POST");
+        assertThat(a.text()).startsWith("HTTP/1.1 200");
+        assertThat(a.text()).doesNotContain("\r\n0\r\n");
+        assertThat(a.time()).isLessThan(DEADLINE.plus(MAX_DELAY_AFTER_DEADLINE));
+        awaitConnectionClosed();
+    }
+
+    // Guards against waiting until the deadline for the end of a failed response before the call is sent elsewhere.
+    @ParameterizedTest
+    @ValueSource(strings = {"500 Internal Server Error\r\n", "503 Full\r\nfuchsiastand-run-state: not-run\r\n"})
+    void sendsACallElsewhereWhenTheBodyOfAFailedResponseDoesNotEnd(String statusAndFields) throws Exception {
+        fleet.startBackend(0, "sound", "menu");
+        // Each call adds to the retry budget.
+        for (int i = 0; i < 100; i++) {
+            call("GET");
+        }
+        backend.events.clear();
+        backend.response = "HTTP/1.1 " + statusAndFields + CHUNKED;
+        backend.endlessBytes = CHUNK;
+        for (int i = 0; i < 100 && backend.events.isEmpty(); i++) {
+            Answer a = call("GET");
+            assertThat(a.text()).startsWith("HTTP/1.1 200");
+            assertThat(a.time()).isLessThan(DEADLINE);
+        }
+        assertThat(backend.events).isNotEmpty();
+    }
+
     // Guards against a backend server that sends such bytes and is still held for sound.
     @ParameterizedTest
     @ValueSource(
             strings = {
                 "HTTP/1.1 200 OK\r\n|x-a: 1\r\n",
-                "HTTP/1.1 200 OK\r\n" + CHUNKED + CHUNK + "0\r\n|x-b: 1\r\n"
+                "HTTP/1.1 200 OK\r\n" + CHUNKED + CHUNK + "0\r\n|x-b: 1\r\n",
+                "HTTP/1.1 200 OK\r\n" + CHUNKED + "|" + CHUNK
             })
     void countsEndlessResponsesAsFailuresOfTheBackendServer(String startAndEndlessBytes) throws Exception {
         int split = startAndEndlessBytes.indexOf('|');
