Refuse header fields without end from callers

A caller that sends header fields without end had them kept in memory until the header timeout, 10 s by default. The cause is the one of the responses of backend servers: the HTTP library limits the length of a field, not their number, and the limit of the configuration is checked only once the fields are complete.

The guard of callers' connections already reads the fields. It now counts their bytes and refuses a request with 431 and closes the connection at twice the configured limit, which does not count separators and line ends.

Before: ConnectionGuardTest.sendsStatus431WhenTheHeaderFieldsDoNotEnd cannot pass, as nothing counted the bytes. After: it passes.

--- a/daemon/src/main/java/io/fuchsiastand/daemon/http/ConnectionGuard.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/http/ConnectionGuard.java
@@ -22,8 +22,8 @@
 /**
  * Enforces the header timeout and the idle timeout of the configuration on a caller's connection. The guard closes a
  * connection that stays idle, also while the rest of a request body is missing after the response. It sends status 408 and
- * closes the connection when the header fields of a request take too long to arrive, and status 400 when a request has both
- * Content-Length and Transfer-Encoding. It does not check header fields that arrive before the previous request and its
+ * closes the connection when the header fields of a request take too long to arrive, status 431 when they are far larger than
+ * the configuration allows, and status 400 when a request has both Content-Length and Transfer-Encoding. It does not check header fields that arrive before the previous request and its
  * response are complete. The guard runs on the event loop of the connection.
  */
 public final class ConnectionGuard extends ChannelInboundHandlerAdapter {
@@ -37,6 +37,10 @@
         ENDED
     }
 
+    // The configured limit does not count separators and line ends, so RequestCheck applies it to the complete fields.
+    // The guard only bounds the bytes that arrive before they are complete.
+    private static final long MAX_RAW_SIZE_FACTOR = 2;
+
     private final Supplier<RequestLimits> limits;
     private final Clock clock;
     private final FramingFieldScanner framingScanner = new FramingFieldScanner();
@@ -145,6 +149,12 @@
             if (framingScanner.isAmbiguous()) {
                 rejectAndClose(
                         context, ErrorCode.BAD_REQUEST, "the request has both Content-Length and Transfer-Encoding");
+            } else if (framingScanner.length()
+                    > MAX_RAW_SIZE_FACTOR * limits.get().headerBytes()) {
+                rejectAndClose(
+                        context,
+                        ErrorCode.FIELDS_TOO_LARGE,
+                        "the header fields have more than " + limits.get().headerBytes() + " bytes");
             }
         }
         if (phase == Phase.ENDED) {
--- a/daemon/src/main/java/io/fuchsiastand/daemon/http/FramingFieldScanner.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/http/FramingFieldScanner.java
@@ -15,6 +15,7 @@
     // The first characters of the current line in lower case, as many as the longest name in FRAMING_FIELDS has.
     private final StringBuilder linePrefix = new StringBuilder();
     private int lineLength;
+    private long length;
     private boolean requestLineSeen;
     private boolean complete;
 
@@ -24,6 +25,7 @@
         fieldSeen[1] = false;
         linePrefix.setLength(0);
         lineLength = 0;
+        length = 0;
         requestLineSeen = false;
         complete = false;
     }
@@ -36,6 +38,7 @@
     void scan(ByteBuf bytes) {
         for (int i = bytes.readerIndex(); i < bytes.writerIndex() && !complete; i++) {
             byte b = bytes.getByte(i);
+            length++;
             if (b == '\n') {
                 endLine();
             } else if (b != '\r') {
@@ -47,6 +50,15 @@
         }
     }
 
+    /**
+     * Returns the number of bytes of the request line and the header fields that have arrived.
+     *
+     * @return the number of bytes, line ends included
+     */
+    long length() {
+        return length;
+    }
+
     private void endLine() {
         // Empty lines before a request are ignored (RFC 9112, section 2.2).
         complete = requestLineSeen && lineLength == 0;
--- a/daemon/src/test/java/io/fuchsiastand/daemon/http/ConnectionGuardTest.java
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/http/ConnectionGuardTest.java
@@ -73,6 +73,18 @@
         assertThat(channel.isOpen()).isFalse();
     }
 
+    // Guards against header fields without end, which were kept in memory until the header timeout.
+    @Test
+    void sendsStatus431WhenTheHeaderFieldsDoNotEnd() {
+        send("GET / HTTP/1.1\r\nhost: a\r\n");
+        String fields = "x-a: 1\r\n".repeat(100);
+        for (int sent = 0; sent <= 2 * LIMITS.headerBytes() && channel.isOpen(); sent += fields.length()) {
+            send(fields);
+        }
+        assertThat(written()).startsWith("HTTP/1.1 431 ");
+        assertThat(channel.isOpen()).isFalse();
+    }
+
     @Test
     void doesNotApplyTheHeaderTimeoutToARequestThatIsHandled() {
         send("GET / HTTP/1.1\r\n");
