Send trial calls to ejected backend servers

Cause: an ejection takes a backend server out of rotation for at least 10 s, whether or not its fault has ended, and no call reaches it in that time that could show it. Five backend servers of supply had been ejected 6 to 10 s before, for failures that came from the service they call. Ruled out: the circuit breakers alone, which let idempotent calls through as trial calls; the default floor of 0.5, since five of 28 ejected backend servers are above both floors; processor time as the only cause, since the gap is in the decision.

Idempotent calls now serve as trial calls to ejected backend servers, at the pace that the owner accepts.

Before: EjectedBackendServerTest, a gap of 7.0 s, all of the observed time, where less than 2 s is the target. After: passes.

--- a/core/src/main/java/io/fuchsiastand/health/FaultCircuitBreaker.java
+++ b/core/src/main/java/io/fuchsiastand/health/FaultCircuitBreaker.java
@@ -79,7 +79,18 @@
         if (logOdds <= (idempotent ? MAX_IDEMPOTENT_LOG_ODDS : MAX_NON_IDEMPOTENT_LOG_ODDS)) {
             return true;
         }
-        if (!idempotent || trialInFlight || now - trialDelayStart < trialDelayNanos) {
+        return idempotent && tryStartTrialCall(now);
+    }
+
+    /**
+     * Returns whether a trial call may be sent now, regardless of the probability of a faulty phase. Its result must be
+     * recorded as for {@link #tryStartCall}.
+     *
+     * @param now monotonic time
+     * @return false if another trial call is in flight or the trial delay has not passed
+     */
+    public synchronized boolean tryStartTrialCall(long now) {
+        if (trialInFlight || now - trialDelayStart < trialDelayNanos) {
             return false;
         }
         trialInFlight = true;
--- a/core/src/main/java/io/fuchsiastand/routing/Candidate.java
+++ b/core/src/main/java/io/fuchsiastand/routing/Candidate.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.random.RandomGenerator;
 
 import io.fuchsiastand.time.Clock;
 
@@ -18,6 +19,8 @@
     private static final long TWO_FAILURES_BLOCK_NANOS = Duration.ofSeconds(1).toNanos();
     private static final long AVOIDANCE_NANOS = Duration.ofMillis(700).toNanos();
     private static final int MAX_COUNTED_FAILURES = 5;
+    private static final long MIN_TRIAL_PERIOD_NANOS = Duration.ofMillis(500).toNanos();
+    private static final long MAX_TRIAL_PERIOD_NANOS = Duration.ofMinutes(5).toNanos();
 
     private final String host;
     private final AtomicInteger inFlight = new AtomicInteger();
@@ -28,6 +31,9 @@
     private volatile long hostBlockedUntil = Long.MIN_VALUE;
     private volatile long avoidedUntil = Long.MIN_VALUE;
     private volatile double weight = 1;
+    private long trialPeriodNanos = MIN_TRIAL_PERIOD_NANOS;
+    private long nextTrialNanos;
+    private boolean trialScheduled;
 
     /**
      * Creates a candidate.
@@ -67,8 +73,12 @@
         return weight;
     }
 
-    void setServer(BackendServer server) {
+    synchronized void setServer(BackendServer server) {
         this.server = server;
+        if (server.state() != BackendState.EJECTED) {
+            trialScheduled = false;
+            trialPeriodNanos = MIN_TRIAL_PERIOD_NANOS;
+        }
     }
 
     void setWeight(double weight) {
@@ -124,6 +134,39 @@
         return until != Long.MIN_VALUE && clock.nanoTime() - until < 0;
     }
 
+    /**
+     * Returns whether this daemon should send a trial call to the backend server now, and schedules the next one. The daemon
+     * of the backend server's host accepts trial calls at a limited rate. The period adapts, so that all ingress daemons
+     * together send about as many as it accepts.
+     *
+     * @param clock the clock
+     * @param random the source of random numbers, which spreads the trial calls of different daemons
+     * @return true if the backend server is ejected and out of rotation and a trial call is due
+     */
+    public synchronized boolean tryBeginTrial(Clock clock, RandomGenerator random) {
+        if (weight > 0 || server.state() != BackendState.EJECTED) {
+            return false;
+        }
+        long now = clock.nanoTime();
+        boolean due = trialScheduled && now - nextTrialNanos >= 0;
+        if (due || !trialScheduled) {
+            trialScheduled = true;
+            nextTrialNanos = now + (long) (trialPeriodNanos * (due ? 0.5 + random.nextDouble() : random.nextDouble()));
+        }
+        return due;
+    }
+
+    /**
+     * Records whether a trial call was sent to the backend server.
+     *
+     * @param accepted whether the daemon of its host accepted the trial call
+     */
+    public synchronized void recordTrial(boolean accepted) {
+        trialPeriodNanos = accepted
+                ? Math.max(MIN_TRIAL_PERIOD_NANOS, trialPeriodNanos / 2)
+                : Math.min(MAX_TRIAL_PERIOD_NANOS, trialPeriodNanos * 2);
+    }
+
     /** Records the end of a call that is no evidence about the backend server, such as a cancelled call. */
     public void endWithoutResult() {
         inFlight.decrementAndGet();
--- a/core/src/main/java/io/fuchsiastand/routing/ServiceDirectory.java
+++ b/core/src/main/java/io/fuchsiastand/routing/ServiceDirectory.java
@@ -152,6 +152,22 @@
         return Optional.of(pickBetterOfTwo(preferLocal ? local : usable, random));
     }
 
+    /**
+     * Chooses an ejected backend server for a trial call. Without trial calls, an ejected backend server that is well again
+     * would get no calls until its ejection ends.
+     *
+     * @param service the name of the service
+     * @param random the source of random choices
+     * @return a backend server that is out of rotation because it is ejected and to which a trial call is due, or empty if
+     *     there is none
+     */
+    public Optional<Candidate> pickForTrial(String service, RandomGenerator random) {
+        return candidatesByService.getOrDefault(service, List.of()).stream()
+                .filter(c -> isHostReachable(c) && c.isHostUsable(clock) && !c.isAvoided(clock))
+                .filter(c -> c.tryBeginTrial(clock, random))
+                .findFirst();
+    }
+
     /**
      * Lists the backend servers of a service.
      *
@@ -196,10 +212,11 @@
 
     private void updateWeights(String service) {
         double floor = services.apply(service).map(Service::floor).orElse(Service.DEFAULT_FLOOR);
-        Rotation.apply(
-                candidates(service),
-                c -> members.apply(c.host()).map(Member::isReachable).orElse(false),
-                floor);
+        Rotation.apply(candidates(service), this::isHostReachable, floor);
+    }
+
+    private boolean isHostReachable(Candidate c) {
+        return members.apply(c.host()).map(Member::isReachable).orElse(false);
     }
 
     private void remove(Candidate c, Set<String> changedServices) {
--- a/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/Dispatcher.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/Dispatcher.java
@@ -117,6 +117,8 @@
         private double minFaultProbability = 1;
         // Whether the request is sent to the last resort candidate, regardless of its circuit breaker.
         private boolean lastResort;
+        // Whether the current attempt is a trial call to a backend server that is out of rotation.
+        private boolean trial;
         // Number of failed attempts that may have reached a backend server.
         private int failedSends;
         private boolean mayHaveRun;
@@ -150,6 +152,11 @@
             return routed.isIdempotent() && lastResortCandidate != null && !lastResort;
         }
 
+        // Only a call that can be sent again if it fails serves as a trial call, and only at its first attempt.
+        private boolean mayTry() {
+            return attempts == 1 && routed.isIdempotent() && body != null;
+        }
+
         private Optional<Candidate> takeLastResort() {
             if (!hasLastResort()) {
                 return Optional.empty();
@@ -291,10 +298,13 @@
         if (a.routed.deadline() - board.clock().nanoTime() <= NANOS_PER_MILLI) {
             return failed(RefusalException.notSent(ErrorCode.DEADLINE_NOT_RUN, ErrorCode.DEADLINE_NOT_RUN.title(), 0));
         }
-        Optional<Candidate> untried = a.attempts > ATTEMPT_LIMIT
-                ? Optional.empty()
-                : board.directory().pick(a.service, a.tried, ThreadLocalRandom.current());
-        Optional<Candidate> picked = untried.or(a::takeLastResort);
+        Optional<Candidate> forTrial =
+                a.mayTry() ? board.directory().pickForTrial(a.service, ThreadLocalRandom.current()) : Optional.empty();
+        a.trial = forTrial.isPresent();
+        Optional<Candidate> picked = forTrial.or(() -> a.attempts > ATTEMPT_LIMIT
+                        ? Optional.empty()
+                        : board.directory().pick(a.service, a.tried, ThreadLocalRandom.current()))
+                .or(a::takeLastResort);
         if (picked.isEmpty()) {
             return failed(
                     a.lastRefusal != null
@@ -308,7 +318,7 @@
             log.write("last resort", idOf(a), "server", c.server().id(), "suspicion", a.minFaultProbability);
         }
         c.begin();
-        Attempt attempt = new Attempt(c);
+        Attempt attempt = new Attempt(c, a.trial);
         return defer(() -> send(a, c))
                 .beforeCancel(attempt::endWithoutResult)
                 .onErrorResume(e -> onError(a, attempt, e))
@@ -318,11 +328,19 @@
     /** One attempt to send a request to a candidate. Reports its end to the candidate once. */
     private final class Attempt {
         private final Candidate candidate;
+        private final boolean trial;
         private final long startNanos = board.clock().nanoTime();
         private final AtomicBoolean ended = new AtomicBoolean();
 
-        private Attempt(Candidate candidate) {
+        private Attempt(Candidate candidate, boolean trial) {
             this.candidate = candidate;
+            this.trial = trial;
+        }
+
+        private void recordTrial(boolean accepted) {
+            if (trial) {
+                candidate.recordTrial(accepted);
+            }
         }
 
         private void endWithoutResult() {
@@ -367,6 +385,7 @@
                     x.isIdempotent(),
                     a.failedSends > 0,
                     a.lastResort,
+                    a.trial,
                     x.priority(),
                     x.deadline(),
                     baseline,
@@ -390,6 +409,9 @@
         if (a.lastResort) {
             h.set(HeaderNames.LAST_RESORT, "1");
         }
+        if (a.trial) {
+            h.set(HeaderNames.TRIAL, "1");
+        }
         h.set(HeaderNames.PRIORITY, Integer.toString(x.priority()));
         h.set(HeaderNames.BASELINE_FAILURES, Double.toString(baseline.failureShare()));
         h.set(HeaderNames.BASELINE_SLOW, Double.toString(baseline.slowMillis()));
@@ -405,6 +427,7 @@
     private Single<StreamingHttpResponse> onError(Attempts a, Attempt attempt, Throwable e) {
         if (e instanceof RefusalException r) {
             attempt.endFailed(-1);
+            attempt.recordTrial(!r.isNotSent());
             a.recordFaultProbability(attempt.candidate, r.faultProbability());
             return onRefusal(a, r);
         }
@@ -455,6 +478,7 @@
                 .ifPresent(x -> baseline(a.service).observe(server, x));
         boolean failed = notRun || (status >= SERVER_ERROR && status != NOT_IMPLEMENTED);
         int load = (int) HeaderNames.parseDouble(h.get(HeaderNames.LOAD), -1);
+        attempt.recordTrial(!notSent);
         if (failed) {
             a.recordFaultProbability(
                     attempt.candidate, HeaderNames.parseDouble(h.get(HeaderNames.FAULT_PROBABILITY), 1));
--- a/daemon/src/main/java/io/fuchsiastand/daemon/http/HeaderNames.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/http/HeaderNames.java
@@ -41,6 +41,8 @@
     public static final String FAULT_PROBABILITY = "fuchsiastand-suspicion";
     /** Marks a call for which no other backend server is left; used only between daemons. */
     public static final String LAST_RESORT = "fuchsiastand-last-resort";
+    /** Marks a trial call to a backend server that is out of rotation. */
+    public static final String TRIAL = "fuchsiastand-trial";
     /** Marks a response that a daemon created; the value is the name of its host. */
     public static final String REFUSED_BY = "fuchsiastand-refused-by";
     /** Credential of a caller (RFC 9110, section 11.6.2). */
--- a/daemon/src/main/java/io/fuchsiastand/daemon/owner/BackendCall.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/owner/BackendCall.java
@@ -13,6 +13,7 @@
  * @param idempotent whether the call may be sent more than once
  * @param retry whether an earlier attempt may have reached a backend server
  * @param lastResort whether no other backend server is left for the call
+ * @param trial whether the ingress daemon sends the call to test a backend server that is out of rotation
  * @param priority the priority of the call; 0 is the most urgent
  * @param deadline time on the monotonic clock of this host by which the call must finish, in nanoseconds
  * @param baseline typical failures and service times of the service
@@ -26,6 +27,7 @@
         boolean idempotent,
         boolean retry,
         boolean lastResort,
+        boolean trial,
         int priority,
         long deadline,
         Baseline baseline,
--- a/daemon/src/main/java/io/fuchsiastand/daemon/owner/OwnerService.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/owner/OwnerService.java
@@ -101,6 +101,7 @@
                 "true".contentEquals(text(h.get(HeaderNames.IDEMPOTENT))),
                 h.contains(HeaderNames.REPEATED),
                 h.contains(HeaderNames.LAST_RESORT),
+                h.contains(HeaderNames.TRIAL),
                 (int) HeaderNames.parseLong(h.get(HeaderNames.PRIORITY), 0),
                 clock.nanoTime() + timeoutMillis * NANOS_PER_MILLI,
                 baseline,
@@ -133,6 +134,13 @@
     private Single<StreamingHttpResponse> sendIfAllowed(
             LocalBackend backend, BackendCall call, FairQueue.Permit permit) {
         long now = clock.nanoTime();
+        if (call.trial() && backend.health().state() == BackendState.EJECTED) {
+            if (!backend.circuitBreaker().tryStartTrialCall(now)) {
+                permit.release();
+                return failed(RefusalException.notSent(ErrorCode.BACKEND_SUSPECT, "no trial call is due", 0));
+            }
+            return send(backend, call, permit);
+        }
         if (!backend.circuitBreaker().tryStartCall(call.idempotent(), call.lastResort(), now)) {
             permit.release();
             double faultProbability = backend.circuitBreaker().faultProbability(now);
