Let a non-idempotent call that would be refused serve as a trial call

A service whose calls must not be retried refused them for seconds after its backend servers were well again.

Cause: the one of the ejections: a backend server is kept from calls, and nothing reaches it that could show that its fault has ended. The circuit breaker accepts trial calls, but only idempotent ones; without them it waits until its odds decay, up to 7 s.

When the circuit breakers of all backend servers that were tried reject a non-idempotent call, it is offered once more to the one with the lowest probability of a fault, which accepts it if a trial call is due.

--- a/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/Dispatcher.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/Dispatcher.java
@@ -146,10 +146,11 @@
             }
         }
 
-        // An idempotent request is sent to a backend server with a probable fault rather than refused. A non-idempotent
-        // request is refused, because it must not be sent again if it fails.
+        // An idempotent request is sent to a backend server with a probable fault rather than refused. The circuit
+        // breaker
+        // accepts a non-idempotent one only as a trial call, because it must not be sent again if it fails.
         private boolean hasLastResort() {
-            return routed.isIdempotent() && lastResortCandidate != null && !lastResort;
+            return lastResortCandidate != null && !lastResort;
         }
 
         // Only a call that can be sent again if it fails serves as a trial call, and only at its first attempt.
