Revert "End an ejection when calls show that the fault has ended"

The revert removes the tests of the change with it; EjectedBackendServerTest checks again that the ejection still lasts.

--- a/core/src/main/java/io/fuchsiastand/health/BackendHealth.java
+++ b/core/src/main/java/io/fuchsiastand/health/BackendHealth.java
@@ -8,8 +8,7 @@
 
 /**
  * Tracks the state of one backend server in the daemon of its host. The backend server starts with a reduced weight. It
- * is ejected when the outlier detector raises an alarm, and returns with a reduced weight when the results of its calls
- * show that the fault has ended, or after an ejection time that
+ * is ejected when the outlier detector raises an alarm, and returns with a reduced weight after an ejection time that
  * doubles with each ejection within {@link #EJECTION_COUNT_RESET_TIME} of the start of the last one, up to
  * {@link #MAX_EJECTION_TIME}. After an ejection of the maximum length, the next one has the length of the first again.
  * Draining is final.
@@ -51,8 +50,8 @@
     }
 
     /**
-     * Records the result of a call. Ejects the backend server if the detector raises an alarm, unless it is ejected or
-     * draining, and ends its ejection if the calls since then show that the fault has ended.
+     * Records the result of a call and ejects the backend server if the detector raises an alarm, unless it is ejected
+     * or draining.
      *
      * @param outcome the result of the call
      * @param millis service time in milliseconds: the time from sending the call to the head of the answer
@@ -66,8 +65,6 @@
         boolean alarm = detector.observe(outcome, millis, baseline, isCold(), now);
         if (alarm && (state == BackendState.SERVING || state == BackendState.STARTING)) {
             eject(now);
-        } else if (state == BackendState.EJECTED && detector.isRecovered()) {
-            endEjection(now);
         }
     }
 
@@ -81,7 +78,8 @@
         if (state == BackendState.STARTING && now - stateSince >= RAMP_UP_TIME.toNanos()) {
             changeState(BackendState.SERVING, now);
         } else if (state == BackendState.EJECTED && now - stateSince >= ejectionNanos()) {
-            endEjection(now);
+            detector.reset();
+            changeState(BackendState.STARTING, now);
         }
         if (now - lastEjection >= EJECTION_COUNT_RESET_TIME.toNanos()) {
             recentEjections = 0;
@@ -152,13 +150,8 @@
         severity = Math.max(1, detector.severity());
         recentEjections = Math.min(recentEjections + 1, MAX_DOUBLINGS + 1);
         lastEjection = now;
-        detector.beginRecovery();
-        changeState(BackendState.EJECTED, now);
-    }
-
-    private void endEjection(long now) {
         detector.reset();
-        changeState(BackendState.STARTING, now);
+        changeState(BackendState.EJECTED, now);
     }
 
     private void changeState(BackendState next, long now) {
--- a/core/src/main/java/io/fuchsiastand/health/OutlierDetector.java
+++ b/core/src/main/java/io/fuchsiastand/health/OutlierDetector.java
@@ -35,8 +35,6 @@
     private double callsPerSecond = 1;
     private long lastCall;
     private double faultyShare;
-    private boolean recoversFromSlowness;
-    private RecoveryTest recovery = new RecoveryTest(GROSS_FAILURE_SHARE);
 
     /**
      * Creates a detector.
@@ -71,11 +69,6 @@
         if (!failed) {
             slowCalls.observe(slow, NORMAL_SLOW_SHARE);
         }
-        if (recoversFromSlowness) {
-            recovery.observe(failed || slow, NORMAL_SLOW_SHARE);
-        } else {
-            recovery.observe(failed, normal);
-        }
         faultyShare += SMOOTHING * ((failed || slow ? 1 : 0) - faultyShare);
         return isOutlier();
     }
@@ -99,24 +92,6 @@
         return Math.rint(faultyShare * 100);
     }
 
-    /** Resets the tests, and starts a test for the end of the fault to which the largest of them points. */
-    public void beginRecovery() {
-        recoversFromSlowness = slowCalls.sum() >= Math.max(slightFailures.sum(), grossFailures.sum());
-        boolean gross = grossFailures.sum() >= slightFailures.sum();
-        double raised = recoversFromSlowness ? RAISED_SLOW_SHARE : gross ? GROSS_FAILURE_SHARE : SLIGHT_FAILURE_SHARE;
-        recovery = new RecoveryTest(raised);
-        reset();
-    }
-
-    /**
-     * Returns whether the calls since {@link #beginRecovery} show that the fault has ended.
-     *
-     * @return true if calls like these are unlikely during the fault
-     */
-    public boolean isRecovered() {
-        return recovery.isRecovered();
-    }
-
     /** Resets the tests. The call rate and the severity stay unchanged. */
     public void reset() {
         slightFailures.reset();
--- a/daemon/src/test/java/io/fuchsiastand/daemon/EjectedBackendServerTest.java
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/EjectedBackendServerTest.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 
-import io.fuchsiastand.health.BackendHealth;
 import io.fuchsiastand.standin.BackendFaults;
 import io.fuchsiastand.standin.BackendServerStandin;
 import org.junit.jupiter.api.AfterEach;
@@ -16,8 +15,7 @@
 
     // The rule on the floor of a service counts the backend servers that get no call for 2 s.
     private static final Duration MAX_GAP = Duration.ofSeconds(2);
-    // Shorter than the shortest time after which an ejection ends without calls.
-    private static final Duration OBSERVED_TIME = BackendHealth.FIRST_EJECTION_TIME.minusSeconds(3);
+    private static final Duration OBSERVED_TIME = Duration.ofSeconds(7);
 
     private Fleet fleet;
     private BackendServerStandin ejected;
@@ -62,9 +60,15 @@
             }
             longestGap = Math.max(longestGap, now - lastCall);
         }
+        assertThat(isEjected()).isTrue();
         assertThat(Duration.ofNanos(longestGap)).isLessThan(MAX_GAP);
     }
 
+    private boolean isEjected() {
+        return fleet.daemons.get(0).status().backends().stream()
+                .anyMatch(b -> b.id().equals("ejected") && b.state().equals("ejected"));
+    }
+
     private void callBothDaemons() {
         try {
             for (int i = 0; i < 2; i++) {
