Move the attempts of a request out of the dispatcher

Its inner class with the state of a request's attempts is now the class CallAttempts. No behaviour changes.

--- /dev/null
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/CallAttempts.java
@@ -0,0 +1,110 @@
+package io.fuchsiastand.daemon.dispatch;
+
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+
+import io.fuchsiastand.daemon.edge.RoutedRequest;
+import io.fuchsiastand.daemon.http.RefusalException;
+import io.fuchsiastand.retry.RetryBudget;
+import io.fuchsiastand.routing.Candidate;
+import io.fuchsiastand.time.Clock;
+import io.servicetalk.buffer.api.Buffer;
+
+/** A request and the results of its attempts so far. */
+final class CallAttempts {
+
+    // After this number of attempts for one request, only one at the last resort candidate may follow. When a
+    // request needs many, most of them are refused at once by the daemon of the candidate's host and reach no backend
+    // server.
+    static final int ATTEMPT_LIMIT = 8;
+
+    final RoutedRequest routed;
+    final String service;
+    final RetryBudget budget;
+    final Set<Candidate> tried = new HashSet<>();
+    private final Clock clock;
+    final long startNanos;
+    // The buffered body; null if the body is a stream, which can be sent only once.
+    final Buffer body;
+    boolean bodyUsed;
+    // The refusal of the last attempt in which this daemon refused the request itself or could not reach another
+    // daemon, so that no backend server received the request. The caller receives this refusal if no candidate is
+    // left. Refusals by other daemons are not stored.
+    RefusalException lastRefusal;
+    // Of the candidates whose circuit breaker rejected the request, the one with the lowest probability of a fault.
+    private Candidate lastResortCandidate;
+    double minFaultProbability = 1;
+    // Whether the request is sent to the last resort candidate, regardless of its circuit breaker.
+    boolean lastResort;
+    // Whether the current attempt is a trial call to a backend server that is out of rotation.
+    boolean trial;
+    // Number of failed attempts that may have reached a backend server.
+    int failedSends;
+    boolean mayHaveRun;
+    // Number of attempts, also those that did not reach a backend server.
+    int attempts;
+
+    CallAttempts(RoutedRequest routed, String service, Buffer body, RetryBudget budget, Clock clock) {
+        this.routed = routed;
+        this.service = service;
+        this.body = body;
+        this.budget = budget;
+        this.clock = clock;
+        startNanos = clock.nanoTime();
+    }
+
+    // After an attempt that reached no backend server, another attempt starts only in the first half of the time
+    // until the deadline, so that the caller of a refused request has time to retry.
+    private boolean isInFirstHalf() {
+        long now = clock.nanoTime();
+        return now - startNanos < (routed.deadline() - startNanos) / 2;
+    }
+
+    void recordFaultProbability(Candidate c, double faultProbability) {
+        if (faultProbability < minFaultProbability) {
+            lastResortCandidate = c;
+            minFaultProbability = faultProbability;
+        }
+    }
+
+    // An idempotent request is sent to a backend server with a probable fault rather than refused. The circuit breaker
+    // accepts a non-idempotent one only as a trial call, because it must not be sent again if it fails.
+    private boolean hasLastResort() {
+        return lastResortCandidate != null && !lastResort;
+    }
+
+    // Only a call that can be sent again if it fails serves as a trial call, and only at its first attempt.
+    boolean mayTry() {
+        return attempts == 1 && routed.isIdempotent() && body != null;
+    }
+
+    Optional<Candidate> takeLastResort() {
+        if (!hasLastResort()) {
+            return Optional.empty();
+        }
+        lastResort = true;
+        return Optional.of(lastResortCandidate);
+    }
+
+    // Returns whether another attempt is allowed. If the failed attempt was sent to a backend server, adds it to
+    // failedSends and, if another one is allowed, takes a retry from the budget. If it was not sent, the next one
+    // is no retry for the service: failedSends and the budget do not change.
+    boolean tryRetry(boolean notRun, boolean notSent) {
+        boolean replayable = body != null || !bodyUsed;
+        if (!replayable) {
+            return false;
+        }
+        if (notSent) {
+            return isInFirstHalf() && (attempts < ATTEMPT_LIMIT || hasLastResort());
+        }
+        if (attempts >= ATTEMPT_LIMIT) {
+            return false;
+        }
+        failedSends++;
+        mayHaveRun |= !notRun;
+        return (notRun || routed.isIdempotent())
+                && failedSends < routed.match().route().policy().mostAttempts()
+                && budget.tryRetry();
+    }
+}
--- a/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/Dispatcher.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/Dispatcher.java
@@ -3,11 +3,9 @@
 import java.io.IOException;
 import java.net.ConnectException;
 import java.time.Duration;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeoutException;
@@ -61,10 +59,6 @@
  */
 public final class Dispatcher {
 
-    // After this number of attempts for one request, only one at the last resort candidate may follow. When a
-    // request needs many, most of them are refused at once by the daemon of the candidate's host and reach no backend
-    // server.
-    private static final int ATTEMPT_LIMIT = 8;
     private static final int MAX_BUFFERED_BODY_BYTES = 64 * 1024;
     private static final long RETRY_AFTER_MILLIS = 200;
     // After its start, a daemon has discovered only a few members and must not use the retry slack of the whole fleet
@@ -98,96 +92,6 @@
     private final StreamingHttpRequestFactory requestFactory = new DefaultStreamingHttpRequestResponseFactory(
             BufferAllocators.DEFAULT_ALLOCATOR, DefaultHttpHeadersFactory.INSTANCE, HttpProtocolVersion.HTTP_1_1);
 
-    /** A request and the results of its attempts so far. */
-    private final class Attempts {
-        private final RoutedRequest routed;
-        private final String service;
-        private final RetryBudget budget;
-        private final Set<Candidate> tried = new HashSet<>();
-        private final long startNanos = board.clock().nanoTime();
-        // The buffered body; null if the body is a stream, which can be sent only once.
-        private final Buffer body;
-        private boolean bodyUsed;
-        // The refusal of the last attempt in which this daemon refused the request itself or could not reach another
-        // daemon, so that no backend server received the request. The caller receives this refusal if no candidate is
-        // left. Refusals by other daemons are not stored.
-        private RefusalException lastRefusal;
-        // Of the candidates whose circuit breaker rejected the request, the one with the lowest probability of a fault.
-        private Candidate lastResortCandidate;
-        private double minFaultProbability = 1;
-        // Whether the request is sent to the last resort candidate, regardless of its circuit breaker.
-        private boolean lastResort;
-        // Whether the current attempt is a trial call to a backend server that is out of rotation.
-        private boolean trial;
-        // Number of failed attempts that may have reached a backend server.
-        private int failedSends;
-        private boolean mayHaveRun;
-        // Number of attempts, also those that did not reach a backend server.
-        private int attempts;
-
-        private Attempts(RoutedRequest routed, String service, Buffer body) {
-            this.routed = routed;
-            this.service = service;
-            this.body = body;
-            budget = budgets.computeIfAbsent(service, Dispatcher.this::newBudget);
-        }
-
-        // After an attempt that reached no backend server, another attempt starts only in the first half of the time
-        // until the deadline, so that the caller of a refused request has time to retry.
-        private boolean isInFirstHalf() {
-            long now = board.clock().nanoTime();
-            return now - startNanos < (routed.deadline() - startNanos) / 2;
-        }
-
-        private void recordFaultProbability(Candidate c, double faultProbability) {
-            if (faultProbability < minFaultProbability) {
-                lastResortCandidate = c;
-                minFaultProbability = faultProbability;
-            }
-        }
-
-        // An idempotent request is sent to a backend server with a probable fault rather than refused. The circuit
-        // breaker
-        // accepts a non-idempotent one only as a trial call, because it must not be sent again if it fails.
-        private boolean hasLastResort() {
-            return lastResortCandidate != null && !lastResort;
-        }
-
-        // Only a call that can be sent again if it fails serves as a trial call, and only at its first attempt.
-        private boolean mayTry() {
-            return attempts == 1 && routed.isIdempotent() && body != null;
-        }
-
-        private Optional<Candidate> takeLastResort() {
-            if (!hasLastResort()) {
-                return Optional.empty();
-            }
-            lastResort = true;
-            return Optional.of(lastResortCandidate);
-        }
-
-        // Returns whether another attempt is allowed. If the failed attempt was sent to a backend server, adds it to
-        // failedSends and, if another one is allowed, takes a retry from the budget. If it was not sent, the next one
-        // is no retry for the service: failedSends and the budget do not change.
-        private boolean tryRetry(boolean notRun, boolean notSent) {
-            boolean replayable = body != null || !bodyUsed;
-            if (!replayable) {
-                return false;
-            }
-            if (notSent) {
-                return isInFirstHalf() && (attempts < ATTEMPT_LIMIT || hasLastResort());
-            }
-            if (attempts >= ATTEMPT_LIMIT) {
-                return false;
-            }
-            failedSends++;
-            mayHaveRun |= !notRun;
-            return (notRun || routed.isIdempotent())
-                    && failedSends < routed.match().route().policy().mostAttempts()
-                    && budget.tryRetry();
-        }
-    }
-
     /**
      * Creates the dispatcher.
      *
@@ -235,21 +139,26 @@
         h.add("via", VIA);
         String service = chooseService(routed);
         if (!RequestCheck.hasBody(request)) {
-            return start(new Attempts(routed, service, EMPTY_BODY));
+            return start(newAttempts(routed, service, EMPTY_BODY));
         }
         if (RequestCheck.bodyLength(request) > MAX_BUFFERED_BODY_BYTES) {
-            return start(new Attempts(routed, service, null));
+            return start(newAttempts(routed, service, null));
         }
         // A buffered body can be sent again, and it is known to be complete before any of it is sent.
         return request.toRequest()
-                .flatMap(r -> start(new Attempts(routed, service, r.payloadBody())))
+                .flatMap(r -> start(newAttempts(routed, service, r.payloadBody())))
                 .onErrorMap(
                         IOException.class,
                         e -> RefusalException.notSent(
                                 ErrorCode.BAD_REQUEST, "the request body ended before its declared length", 0));
     }
 
-    private Single<StreamingHttpResponse> start(Attempts a) {
+    private CallAttempts newAttempts(RoutedRequest routed, String service, Buffer body) {
+        return new CallAttempts(
+                routed, service, body, budgets.computeIfAbsent(service, this::newBudget), board.clock());
+    }
+
+    private Single<StreamingHttpResponse> start(CallAttempts a) {
         a.budget.recordRequest();
         if (a.routed.team().isEmpty()) {
             // A request without a team is on an open route. It may come from a backend server of this host and be
@@ -294,7 +203,7 @@
                 board.clock());
     }
 
-    private Single<StreamingHttpResponse> nextAttempt(Attempts a) {
+    private Single<StreamingHttpResponse> nextAttempt(CallAttempts a) {
         a.attempts++;
         if (a.routed.deadline() - board.clock().nanoTime() <= NANOS_PER_MILLI) {
             return failed(RefusalException.notSent(ErrorCode.DEADLINE_NOT_RUN, ErrorCode.DEADLINE_NOT_RUN.title(), 0));
@@ -302,7 +211,7 @@
         Optional<Candidate> forTrial =
                 a.mayTry() ? board.directory().pickForTrial(a.service, ThreadLocalRandom.current()) : Optional.empty();
         a.trial = forTrial.isPresent();
-        Optional<Candidate> picked = forTrial.or(() -> a.attempts > ATTEMPT_LIMIT
+        Optional<Candidate> picked = forTrial.or(() -> a.attempts > CallAttempts.ATTEMPT_LIMIT
                         ? Optional.empty()
                         : board.directory().pick(a.service, a.tried, ThreadLocalRandom.current()))
                 .or(a::takeLastResort);
@@ -370,7 +279,7 @@
         }
     }
 
-    private Single<StreamingHttpResponse> send(Attempts a, Candidate c) {
+    private Single<StreamingHttpResponse> send(CallAttempts a, Candidate c) {
         RoutedRequest x = a.routed;
         StreamingHttpRequest request = a.body == null ? x.request() : copy(x.request(), a.body);
         a.bodyUsed = true;
@@ -425,7 +334,7 @@
         return peers.dataClient(m).request(request).timeout(timeUntilDeadline(a).plus(REPORT_TIME), timer);
     }
 
-    private Single<StreamingHttpResponse> onError(Attempts a, Attempt attempt, Throwable e) {
+    private Single<StreamingHttpResponse> onError(CallAttempts a, Attempt attempt, Throwable e) {
         if (e instanceof RefusalException r) {
             attempt.endFailed(-1);
             attempt.recordTrial(!r.isNotSent());
@@ -461,14 +370,14 @@
                 e));
     }
 
-    private Single<StreamingHttpResponse> onRefusal(Attempts a, RefusalException r) {
+    private Single<StreamingHttpResponse> onRefusal(CallAttempts a, RefusalException r) {
         if (r.isNotSent()) {
             a.lastRefusal = r;
         }
         return a.tryRetry(r.isNotRun(), r.isNotSent()) ? retry(a) : failed(r);
     }
 
-    private Single<StreamingHttpResponse> onResponse(Attempts a, Attempt attempt, StreamingHttpResponse r) {
+    private Single<StreamingHttpResponse> onResponse(CallAttempts a, Attempt attempt, StreamingHttpResponse r) {
         HttpHeaders h = r.headers();
         int status = r.status().code();
         boolean notRun = HeaderNames.isNotRun(h);
@@ -520,11 +429,11 @@
         return succeeded(r.transformMessageBody(b -> b.timeoutTerminal(timeout, timer)));
     }
 
-    private Duration timeUntilDeadline(Attempts a) {
+    private Duration timeUntilDeadline(CallAttempts a) {
         return Duration.ofNanos(Math.max(1, a.routed.deadline() - board.clock().nanoTime()));
     }
 
-    private Single<StreamingHttpResponse> retry(Attempts a) {
+    private Single<StreamingHttpResponse> retry(CallAttempts a) {
         metrics.recordRetry();
         if (a.failedSends > 0) {
             log.write("sent again", idOf(a), "service", a.service, "picks", a.attempts, "sends", a.failedSends);
@@ -543,7 +452,7 @@
         return to;
     }
 
-    private CharSequence idOf(Attempts a) {
+    private CharSequence idOf(CallAttempts a) {
         return conventions.requestIdOf(a.routed.request().headers());
     }
 
