Send fewer trial calls to ejected backend servers while they fail

Trial calls cost callers calls while a fault lasts. They shared the pace of the circuit breaker, every 0.4 to 1.6 s.

A pacer of their own sends at most one a second and doubles the delay up to 8 s while they fail. TrialPacerTest, EjectedBackendServerTest and SuspectBackendServerTest pass.

--- a/core/src/main/java/io/fuchsiastand/health/FaultCircuitBreaker.java
+++ b/core/src/main/java/io/fuchsiastand/health/FaultCircuitBreaker.java
@@ -82,14 +82,7 @@
         return (idempotent || lastResort) && tryStartTrialCall(now);
     }
 
-    /**
-     * Returns whether a trial call may be sent now, regardless of the probability of a faulty phase. Its result must be
-     * recorded as for {@link #tryStartCall}.
-     *
-     * @param now monotonic time
-     * @return false if another trial call is in flight or the trial delay has not passed
-     */
-    public synchronized boolean tryStartTrialCall(long now) {
+    private boolean tryStartTrialCall(long now) {
         if (trialInFlight || now - trialDelayStart < trialDelayNanos) {
             return false;
         }
--- a/daemon/src/main/java/io/fuchsiastand/daemon/owner/LocalBackend.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/owner/LocalBackend.java
@@ -10,6 +10,7 @@
 import io.fuchsiastand.health.Baseline;
 import io.fuchsiastand.health.FaultCircuitBreaker;
 import io.fuchsiastand.health.Outcome;
+import io.fuchsiastand.health.TrialPacer;
 import io.fuchsiastand.queue.FairQueue;
 import io.fuchsiastand.routing.BackendServer;
 import io.fuchsiastand.routing.BackendState;
@@ -36,6 +37,7 @@
     private final FairQueue queue;
     private final BackendHealth health;
     private final FaultCircuitBreaker circuitBreaker = new FaultCircuitBreaker();
+    private final TrialPacer ejectionTrials = new TrialPacer();
     private final Clock clock;
     private final Map<Long, InFlightCall> calls = new ConcurrentHashMap<>();
     private final AtomicLong lastCallNumber = new AtomicLong();
@@ -126,6 +128,9 @@
                 ended = true;
             }
             calls.remove(number);
+            if (call.trial()) {
+                ejectionTrials.record(outcome);
+            }
             recordOutcome(outcome);
             if (outcome == Outcome.SUCCESS) {
                 circuitBreaker.recordSuccess(clock.nanoTime());
@@ -245,6 +250,15 @@
         return circuitBreaker;
     }
 
+    /**
+     * Returns the pacer of the trial calls that the backend server gets while it is ejected.
+     *
+     * @return the pacer
+     */
+    public TrialPacer ejectionTrials() {
+        return ejectionTrials;
+    }
+
     /**
      * Replaces the announcement and extends the time until it expires.
      *
@@ -300,6 +314,9 @@
     public void tick(long now) {
         calls.values().forEach(c -> c.checkOverdue(now));
         health.applyDueChanges(now);
+        if (health.state() != BackendState.EJECTED) {
+            ejectionTrials.reset();
+        }
         reportExclusion(now);
     }
 
--- a/daemon/src/main/java/io/fuchsiastand/daemon/owner/OwnerService.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/owner/OwnerService.java
@@ -135,7 +135,7 @@
             LocalBackend backend, BackendCall call, FairQueue.Permit permit) {
         long now = clock.nanoTime();
         if (call.trial() && backend.health().state() == BackendState.EJECTED) {
-            if (!backend.circuitBreaker().tryStartTrialCall(now)) {
+            if (!backend.ejectionTrials().tryStart(now)) {
                 permit.release();
                 return failed(RefusalException.notSent(ErrorCode.BACKEND_SUSPECT, "no trial call is due", 0));
             }
