--- a/daemon/src/test/java/io/fuchsiastand/daemon/EndlessResponseTest.java
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/EndlessResponseTest.java
@@ -4,13 +4,9 @@
 import java.io.InputStream;
 import java.net.Socket;
 import java.net.SocketException;
-import java.net.URI;
-import java.net.http.HttpRequest;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 
-import io.fuchsiastand.config.Json;
-import io.fuchsiastand.daemon.owner.LocalBackend;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -41,12 +37,7 @@
     void start() throws Exception {
         fleet = new Fleet(2);
         backend = new RawBackendServer();
-        LocalBackend.Announcement a = LocalBackend.Announcement.of("raw", "menu", "127.0.0.1", backend.port(), 8, 3600);
-        HttpRequest announce = HttpRequest.newBuilder(URI.create(
-                        "http://127.0.0.1:" + fleet.settings.get(0).ports().admin() + "/v1/backends"))
-                .POST(HttpRequest.BodyPublishers.ofByteArray(Json.write(a)))
-                .build();
-        assertThat(fleet.send(announce).statusCode()).isEqualTo(200);
+        fleet.announce(0, "raw", "menu", backend.port());
         Fleet.await("a call succeeds", () -> {
             try {
                 return call("POST").text().startsWith("HTTP/1.1 200");
@@ -66,9 +57,7 @@
     @ParameterizedTest
     @ValueSource(strings = {"x", "\r\n", "\0", "HTTP/1.1 200 OK\r\nx-a: |y", "HTTP/1.1 200 OK\r\n|x-a: 1\r\n"})
     void answers502SoonWhenAHeaderSectionDoesNotEnd(String startAndEndlessBytes) throws Exception {
-        int split = startAndEndlessBytes.indexOf('|');
-        backend.response = startAndEndlessBytes.substring(0, Math.max(0, split));
-        backend.endlessBytes = startAndEndlessBytes.substring(split + 1);
+        setResponse(startAndEndlessBytes);
 
         Answer a = call("POST");
         assertThat(a.text()).startsWith("HTTP/1.1 502");
@@ -93,9 +82,7 @@
     @ParameterizedTest
     @ValueSource(strings = {CHUNK + "0\r\n|x-b: 1\r\n", CHUNK + "|0", CHUNK + "5;|a"})
     void breaksOffSoonWhenATrailerSectionOrAChunkHeaderDoesNotEnd(String startAndEndlessBytes) throws Exception {
-        int split = startAndEndlessBytes.indexOf('|');
-        backend.response = "HTTP/1.1 200 OK\r\n" + CHUNKED + startAndEndlessBytes.substring(0, split);
-        backend.endlessBytes = startAndEndlessBytes.substring(split + 1);
+        setResponse("HTTP/1.1 200 OK\r\n" + CHUNKED + startAndEndlessBytes);
 
         Answer a = call("POST");
         assertThat(a.text()).startsWith("HTTP/1.1 200");
@@ -108,9 +95,7 @@
     @ParameterizedTest
     @ValueSource(strings = {CHUNKED + "|" + CHUNK, "\r\n|sugar"})
     void breaksOffABodyWithoutEndAtTheDeadline(String startAndEndlessBytes) throws Exception {
-        int split = startAndEndlessBytes.indexOf('|');
-        backend.response = "HTTP/1.1 200 OK\r\n" + startAndEndlessBytes.substring(0, split);
-        backend.endlessBytes = startAndEndlessBytes.substring(split + 1);
+        setResponse("HTTP/1.1 200 OK\r\n" + startAndEndlessBytes);
 
         Answer a = call("POST");
         assertThat(a.text()).startsWith("HTTP/1.1 200");
@@ -148,9 +133,7 @@
                 "HTTP/1.1 200 OK\r\n" + CHUNKED + "|" + CHUNK
             })
     void countsEndlessResponsesAsFailuresOfTheBackendServer(String startAndEndlessBytes) throws Exception {
-        int split = startAndEndlessBytes.indexOf('|');
-        backend.response = startAndEndlessBytes.substring(0, split);
-        backend.endlessBytes = startAndEndlessBytes.substring(split + 1);
+        setResponse(startAndEndlessBytes);
         for (int i = 0; i < 3; i++) {
             call("GET");
         }
@@ -162,6 +145,13 @@
         assertThat(a.text()).contains("fuchsiastand-run-state: not-run");
     }
 
+    // Sets a response and, after the character "|" if there is one, the bytes that follow without end.
+    private void setResponse(String startAndEndlessBytes) {
+        int split = startAndEndlessBytes.indexOf('|');
+        backend.response = startAndEndlessBytes.substring(0, Math.max(0, split));
+        backend.endlessBytes = startAndEndlessBytes.substring(split + 1);
+    }
+
     private void awaitConnectionClosed() throws Exception {
         Fleet.await("the connection to the backend server is closed", () -> backend.events.stream()
                 .anyMatch(e -> e.startsWith("broken: ")));
--- a/daemon/src/test/java/io/fuchsiastand/daemon/Fleet.java
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/Fleet.java
@@ -20,6 +20,7 @@
 import io.fuchsiastand.config.TomlFile;
 import io.fuchsiastand.daemon.board.Lifecycle;
 import io.fuchsiastand.daemon.board.Settings;
+import io.fuchsiastand.daemon.owner.LocalBackend;
 import io.fuchsiastand.key.Digests;
 import io.fuchsiastand.key.KeyBucket;
 import io.fuchsiastand.key.KeyEntry;
@@ -126,6 +127,17 @@
         return b;
     }
 
+    void announce(int daemon, String id, String service, int port) throws Exception {
+        LocalBackend.Announcement a = LocalBackend.Announcement.of(id, service, "127.0.0.1", port, 8, 3600);
+        HttpRequest request = HttpRequest.newBuilder(URI.create(
+                        "http://127.0.0.1:" + settings.get(daemon).ports().admin() + "/v1/backends"))
+                .POST(HttpRequest.BodyPublishers.ofByteArray(Json.write(a)))
+                .build();
+        if (send(request).statusCode() != 200) {
+            throw new IllegalStateException("the daemon did not accept the announcement of " + id);
+        }
+    }
+
     void publish(String teams, String plans) {
         Configuration c = ConfigurationReader.read(new TomlFile("teams", teams), new TomlFile("plans", plans))
                 .configuration();
--- a/daemon/src/test/java/io/fuchsiastand/daemon/HttpFramingTest.java
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/HttpFramingTest.java
@@ -4,13 +4,9 @@
 import java.io.InputStream;
 import java.net.Socket;
 import java.net.SocketException;
-import java.net.URI;
-import java.net.http.HttpRequest;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 
-import io.fuchsiastand.config.Json;
-import io.fuchsiastand.daemon.owner.LocalBackend;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.BeforeEach;
@@ -38,12 +34,7 @@
     void start() throws Exception {
         fleet = new Fleet(2);
         backend = new RawBackendServer();
-        LocalBackend.Announcement a = LocalBackend.Announcement.of("raw", "menu", "127.0.0.1", backend.port(), 8, 3600);
-        HttpRequest announce = HttpRequest.newBuilder(URI.create(
-                        "http://127.0.0.1:" + fleet.settings.get(0).ports().admin() + "/v1/backends"))
-                .POST(HttpRequest.BodyPublishers.ofByteArray(Json.write(a)))
-                .build();
-        assertThat(fleet.send(announce).statusCode()).isEqualTo(200);
+        fleet.announce(0, "raw", "menu", backend.port());
         awaitSuccessfulCalls();
     }
 
