Revert non-idempotent trial calls

Tried and reverted: a non-idempotent call that circuit breakers would refuse served as a trial call.

--- a/core/src/main/java/io/fuchsiastand/health/FaultCircuitBreaker.java
+++ b/core/src/main/java/io/fuchsiastand/health/FaultCircuitBreaker.java
@@ -11,8 +11,8 @@
  *
  * <p>Non-idempotent calls are rejected at a lower probability than idempotent calls. Idempotent calls also serve as
  * trial calls that test whether the phase is over. After a trial call is sent, no further one is sent until the end of
- * any call to this backend server is recorded, with or without a result, and the trial delay has passed. If no other
- * backend server is left for a call, an idempotent call is always sent, and a non-idempotent call may serve as a trial call.
+ * any call to this backend server is recorded, with or without a result, and the trial delay has passed. As an
+ * exception, an idempotent call is always sent if no other backend server is left for it.
  *
  * <p>Thread-safe. All times are monotonic, in nanoseconds.
  */
@@ -79,7 +79,7 @@
         if (logOdds <= (idempotent ? MAX_IDEMPOTENT_LOG_ODDS : MAX_NON_IDEMPOTENT_LOG_ODDS)) {
             return true;
         }
-        return (idempotent || lastResort) && tryStartTrialCall(now);
+        return idempotent && tryStartTrialCall(now);
     }
 
     private boolean tryStartTrialCall(long now) {
--- a/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/CallAttempts.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/CallAttempts.java
@@ -68,10 +68,10 @@
         }
     }
 
-    // An idempotent request is sent to a backend server with a probable fault rather than refused. The circuit breaker
-    // accepts a non-idempotent one only as a trial call, because it must not be sent again if it fails.
+    // An idempotent request is sent to a backend server with a probable fault rather than refused. A non-idempotent
+    // request is refused, because it must not be sent again if it fails.
     private boolean hasLastResort() {
-        return lastResortCandidate != null && !lastResort;
+        return routed.isIdempotent() && lastResortCandidate != null && !lastResort;
     }
 
     // Only a call that can be sent again if it fails serves as a trial call, and only at its first attempt.
