Log what backend servers state in their answers

No log line could tell whether a daemon knew the limit that a backend server named, when it changed, and how many calls the backend server got while it was in force.

The owner now logs each change of the named limit and a backend server that states that it leaves, and warns when a backend server got more calls in 4 s than its limit allows. Statements in an answer with status 421 are ignored, as another backend server sent it; an answer that turns a call away names a limit, but does not withdraw one. No call is treated differently.

--- a/daemon/src/main/java/io/fuchsiastand/daemon/http/HeaderConventions.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/http/HeaderConventions.java
@@ -1,6 +1,7 @@
 package io.fuchsiastand.daemon.http;
 
 import java.util.List;
+import java.util.OptionalDouble;
 import java.util.function.LongFunction;
 import java.util.function.Predicate;
 import java.util.stream.Stream;
@@ -21,6 +22,9 @@
  * @param requestIdHeader the header for the identifier of a call
  * @param backendsEchoRequestId whether callers send an identifier with each call and backend servers repeat it in the response;
  *     if not, the daemon gives an identifier to calls that have none, for its log and the caller
+ * @param rateLimitHeader the header in which a backend server names the calls a second that it accepts from all daemons
+ *     together; without it, there is no limit
+ * @param leavingHeader the header with the value 1 in all responses of a backend server that is about to leave its service
  * @param notRun returns whether a response of a backend server proves that the call did not run
  * @param retryAfterFormat formats a time in milliseconds as the value of Retry-After
  */
@@ -31,6 +35,8 @@
         String instanceHeader,
         String requestIdHeader,
         boolean backendsEchoRequestId,
+        String rateLimitHeader,
+        String leavingHeader,
         Predicate<StreamingHttpResponse> notRun,
         LongFunction<String> retryAfterFormat) {
 
@@ -41,6 +47,8 @@
             .deadlineHeader(HeaderNames.DEADLINE)
             .requestIdHeader(HeaderNames.REQUEST_ID)
             .teamHeader(HeaderNames.TEAM)
+            .rateLimitHeader(HeaderNames.RATE_LIMIT)
+            .leavingHeader(HeaderNames.LEAVING)
             .notRun(r -> HeaderNames.isNotRun(r.headers()))
             .retryAfterFormat(ms -> Long.toString((ms + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND))
             .build();
@@ -90,6 +98,28 @@
         return echoedId != null && id.toString().contentEquals(echoedId);
     }
 
+    /**
+     * Returns the rate limit that a backend server names in a response.
+     *
+     * @param response the headers of the response
+     * @return calls a second, or empty if the response names no limit, or none that is a finite number of at least 0
+     */
+    public OptionalDouble rateLimitOf(HttpHeaders response) {
+        double limit = rateLimitHeader.isEmpty() ? -1 : HeaderNames.parseDouble(response.get(rateLimitHeader), -1);
+        return limit >= 0 && limit < Double.POSITIVE_INFINITY ? OptionalDouble.of(limit) : OptionalDouble.empty();
+    }
+
+    /**
+     * Returns whether a backend server states in a response that it is about to leave.
+     *
+     * @param response the headers of the response
+     * @return true if it leaves
+     */
+    public boolean isLeaving(HttpHeaders response) {
+        CharSequence v = leavingHeader.isEmpty() ? null : response.get(leavingHeader);
+        return v != null && "1".contentEquals(v);
+    }
+
     /** Builds header conventions. */
     public static final class Builder {
         private String deadlineHeader = "";
@@ -98,6 +128,8 @@
         private String instanceHeader = "";
         private String requestIdHeader = "";
         private boolean backendsEchoRequestId;
+        private String rateLimitHeader = "";
+        private String leavingHeader = "";
         private Predicate<StreamingHttpResponse> notRun = r -> false;
         private LongFunction<String> retryAfterFormat = Long::toString;
 
@@ -168,6 +200,28 @@
             return this;
         }
 
+        /**
+         * Sets the name of the header in which a backend server names its rate limit.
+         *
+         * @param name the header name
+         * @return this builder
+         */
+        public Builder rateLimitHeader(String name) {
+            rateLimitHeader = name;
+            return this;
+        }
+
+        /**
+         * Sets the name of the header with which a backend server states that it is about to leave.
+         *
+         * @param name the header name
+         * @return this builder
+         */
+        public Builder leavingHeader(String name) {
+            leavingHeader = name;
+            return this;
+        }
+
         /**
          * Sets the predicate that recognizes responses which prove that a call did not run.
          *
@@ -203,6 +257,8 @@
                     instanceHeader,
                     requestIdHeader,
                     backendsEchoRequestId,
+                    rateLimitHeader,
+                    leavingHeader,
                     notRun,
                     retryAfterFormat);
         }
--- a/daemon/src/main/java/io/fuchsiastand/daemon/http/HeaderNames.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/http/HeaderNames.java
@@ -39,6 +39,13 @@
     public static final String NOT_SENT = "fuchsiastand-not-sent";
     /** Probability of a fault of the backend server, set if its circuit breaker rejects the call; used only between daemons. */
     public static final String FAULT_PROBABILITY = "fuchsiastand-suspicion";
+    /**
+     * Rate limit of a backend server, in calls a second. A backend server in need names it in its responses; daemons tell
+     * each other the latest one.
+     */
+    public static final String RATE_LIMIT = "fuchsiastand-rate-limit";
+    /** Whether a backend server is about to leave its service; set to 1 in its responses and between daemons. */
+    public static final String LEAVING = "fuchsiastand-leaving";
     /** Marks a call for which no other backend server is left; used only between daemons. */
     public static final String LAST_RESORT = "fuchsiastand-last-resort";
     /** Marks a trial call to a backend server that is out of rotation. */
--- a/daemon/src/main/java/io/fuchsiastand/daemon/owner/LocalBackend.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/owner/LocalBackend.java
@@ -2,6 +2,7 @@
 
 import java.util.Locale;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
 
@@ -11,6 +12,7 @@
 import io.fuchsiastand.health.FaultCircuitBreaker;
 import io.fuchsiastand.health.Outcome;
 import io.fuchsiastand.health.TrialPacer;
+import io.fuchsiastand.limit.BackendRateLimit;
 import io.fuchsiastand.queue.FairQueue;
 import io.fuchsiastand.routing.BackendServer;
 import io.fuchsiastand.routing.BackendState;
@@ -46,6 +48,9 @@
     private volatile long expiresAt;
     private volatile long lastCallNanos;
     private volatile boolean idleReported;
+    private final BackendRateLimit rateLimit = new BackendRateLimit();
+    private volatile boolean excessReported;
+    private volatile boolean leaving;
 
     /**
      * The announcement by which a backend server registers itself and renews its registration.
@@ -282,6 +287,7 @@
         }
         InFlightCall c = new InFlightCall(permit, call);
         calls.put(c.number, c);
+        rateLimit.recordCall(c.startNanos);
         lastCallNanos = c.startNanos;
         idleReported = false;
         return c;
@@ -318,6 +324,7 @@
             ejectionTrials.reset();
         }
         reportExclusion(now);
+        reportExcessCalls(now);
     }
 
     // Reports once that the backend server gets no calls because it is ejected or its circuit breaker rejects them.
@@ -334,6 +341,38 @@
         }
     }
 
+    /**
+     * Records the rate limit that a response of the backend server names.
+     *
+     * @param limit calls a second, or empty if the response names none
+     */
+    public void recordRateLimit(OptionalDouble limit) {
+        if (rateLimit.set(limit, clock.nanoTime())) {
+            String text = limit.isPresent() ? Double.toString(limit.getAsDouble()) : "none";
+            Logger.info("backend server {} named a rate limit: {}", announcement.id(), text);
+        }
+    }
+
+    /** Records that a response of the backend server states that it is about to leave. */
+    public void recordLeaving() {
+        if (!leaving) {
+            leaving = true;
+            Logger.info("backend server {} states that it is about to leave", announcement.id());
+        }
+    }
+
+    private void reportExcessCalls(long now) {
+        int excess = rateLimit.excessCalls(now);
+        if (excess > 0 && !excessReported) {
+            Logger.warn(
+                    "backend server {} got {} calls in {} s beyond its rate limit",
+                    announcement.id(),
+                    excess,
+                    BackendRateLimit.WINDOW.toSeconds());
+        }
+        excessReported = excess > 0;
+    }
+
     /**
      * Returns whether the announcement has expired.
      *
--- a/daemon/src/main/java/io/fuchsiastand/daemon/owner/OwnerService.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/owner/OwnerService.java
@@ -3,6 +3,7 @@
 import java.net.ConnectException;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.concurrent.TimeoutException;
 import java.util.function.Function;
 
@@ -45,6 +46,7 @@
 
     private static final int SERVICE_UNAVAILABLE = 503;
     private static final int SERVER_ERROR = 500;
+    private static final int MISDIRECTED_REQUEST = 421;
     private static final long NANOS_PER_MILLI = 1_000_000;
     private static final long DEFAULT_DEADLINE_MILLIS = 10_000;
     private static final long MIN_RETRY_AFTER_MILLIS = 50;
@@ -350,6 +352,7 @@
         if (String.valueOf(h.get("connection")).equalsIgnoreCase("close")) {
             use.expectClose();
         }
+        recordStatements(backend, r, notRun);
         HeaderNames.removeHopByHop(h);
         HeaderNames.removeInternal(h);
         c.recordResponseHead();
@@ -379,6 +382,21 @@
                 }));
     }
 
+    // A response that turns a call away names a limit, but the lack of one there does not withdraw it.
+    private void recordStatements(LocalBackend backend, StreamingHttpResponse r, boolean notRun) {
+        if (r.status().code() == MISDIRECTED_REQUEST) {
+            // Another backend server responds at the address.
+            return;
+        }
+        OptionalDouble limit = conventions.rateLimitOf(r.headers());
+        if (limit.isPresent() || !notRun) {
+            backend.recordRateLimit(limit);
+        }
+        if (conventions.isLeaving(r.headers())) {
+            backend.recordLeaving();
+        }
+    }
+
     private static String text(CharSequence value) {
         return value == null ? "" : value.toString();
     }
