Keep calls to a backend server within the rate limit that it names

Cause: the owner, through which all calls to a backend server pass, logged the limit and admitted calls by slots alone.

The owner now takes a token for each call from a bucket that refills at the named rate. A call without a token is refused at once as not sent, with the time until the next one; the ingress daemon then prefers other backend servers for that time, and if none is left, tells the caller the shortest of these times. As all calls pass through the owner, the limit holds however many ingress daemons there are and whatever they know. At a limit below 0.2 calls a second one call in 5 s is sent, as only an answer can withdraw it.

--- a/core/src/main/java/io/fuchsiastand/error/ErrorCode.java
+++ b/core/src/main/java/io/fuchsiastand/error/ErrorCode.java
@@ -75,6 +75,8 @@
     DEADLINE_NOT_RUN("FS-5040", 503, "The deadline passed before the request ran"),
     /** The deadline passed after the request was sent; the backend server may have handled it. */
     DEADLINE("FS-5041", 504, "The deadline passed while the request ran"),
+    /** The backend server named a rate limit, which does not allow the call now. */
+    BACKEND_RATE_LIMITED("FS-5042", 503, "The backend servers of this service take no more calls for now"),
     /** The settings of a program are invalid. */
     SETTINGS("FS-9001", 0, "The settings are wrong"),
     /** The configuration that operators provide is invalid. */
--- a/core/src/main/java/io/fuchsiastand/limit/BackendRateLimit.java
+++ b/core/src/main/java/io/fuchsiastand/limit/BackendRateLimit.java
@@ -6,7 +6,9 @@
 import java.util.OptionalDouble;
 
 /**
- * The rate limit that a backend server names in its responses, and the calls that it gets while the limit is in force.
+ * The rate limit that a backend server names in its responses. While a limit is in force, each call takes a token from a
+ * bucket that refills at this rate and holds the tokens of one second, but at least one. The bucket is empty when the limit
+ * comes into force, because the backend server got calls just before.
  *
  * <p>Thread-safe. All times are monotonic, in nanoseconds.
  */
@@ -14,9 +16,15 @@
 
     /** The time over which calls are counted for {@link #excessCalls}. */
     public static final Duration WINDOW = Duration.ofSeconds(4);
+    /**
+     * The rate, in calls a second, at which a backend server gets calls if it names a lower limit. Without calls, a limit of 0
+     * could not be withdrawn.
+     */
+    public static final double MIN_RATE = 0.2;
 
     private static final double NANOS_PER_SECOND = 1e9;
 
+    private final TokenBucket bucket = new TokenBucket(0, 0, 0);
     private OptionalDouble rate = OptionalDouble.empty();
     private long inForceSince;
     // The start times of the calls within the window, the oldest first.
@@ -33,8 +41,12 @@
         if (newRate.equals(rate)) {
             return false;
         }
-        if (rate.isEmpty()) {
-            inForceSince = now;
+        if (newRate.isPresent()) {
+            bucket.configure(effectiveRate(newRate), burst(newRate), now);
+            if (rate.isEmpty()) {
+                bucket.reset(now);
+                inForceSince = now;
+            }
         }
         rate = newRate;
         return true;
@@ -49,6 +61,44 @@
         return rate;
     }
 
+    /**
+     * Takes a token for a call that is about to be sent.
+     *
+     * @param now monotonic time
+     * @return false if the limit does not allow the call now
+     */
+    public synchronized boolean tryTake(long now) {
+        if (rate.isEmpty()) {
+            return true;
+        }
+        if (bucket.level(now, 0) < 1) {
+            return false;
+        }
+        bucket.take(1);
+        return true;
+    }
+
+    /** Returns the token of a call that was not sent after all. */
+    public synchronized void putBack() {
+        if (rate.isPresent()) {
+            bucket.putBack(1);
+        }
+    }
+
+    /**
+     * Returns the time until the limit allows another call.
+     *
+     * @param now monotonic time
+     * @return the time, or zero if a call is allowed now
+     */
+    public synchronized Duration waitTime(long now) {
+        if (rate.isEmpty()) {
+            return Duration.ZERO;
+        }
+        double missing = Math.max(0, 1 - bucket.level(now, 0));
+        return Duration.ofNanos((long) Math.ceil(missing / effectiveRate(rate) * NANOS_PER_SECOND));
+    }
+
     /**
      * Records that a call is sent to the backend server.
      *
@@ -60,8 +110,7 @@
     }
 
     /**
-     * Returns how many calls the backend server got in the last {@link #WINDOW} beyond what the limit allows, including one
-     * second's worth of calls at once.
+     * Returns how many calls the backend server got in the last {@link #WINDOW} beyond what the limit allows.
      *
      * @param now monotonic time
      * @return the number of calls, or 0 if there is no limit or it has been in force for less than the window
@@ -71,12 +120,16 @@
         if (rate.isEmpty() || now - inForceSince < WINDOW.toNanos()) {
             return 0;
         }
-        double allowed = rate.getAsDouble() * WINDOW.toNanos() / NANOS_PER_SECOND + burst(rate.getAsDouble());
+        double allowed = effectiveRate(rate) * WINDOW.toNanos() / NANOS_PER_SECOND + burst(rate);
         return (int) Math.max(0, Math.ceil(calls.size() - allowed));
     }
 
-    private static double burst(double rate) {
-        return Math.max(1, rate);
+    private static double effectiveRate(OptionalDouble limit) {
+        return Math.max(MIN_RATE, limit.getAsDouble());
+    }
+
+    private static double burst(OptionalDouble limit) {
+        return Math.max(1, limit.getAsDouble());
     }
 
     private void forgetOldCalls(long now) {
--- a/core/src/main/java/io/fuchsiastand/limit/TokenBucket.java
+++ b/core/src/main/java/io/fuchsiastand/limit/TokenBucket.java
@@ -68,6 +68,15 @@
         tokens = Math.max(0, tokens - amount);
     }
 
+    /**
+     * Returns tokens that were taken and not used. The next refill discards those above the burst.
+     *
+     * @param amount tokens
+     */
+    public void putBack(double amount) {
+        tokens += amount;
+    }
+
     /**
      * Empties the bucket and restarts its refill.
      *
--- a/core/src/main/java/io/fuchsiastand/routing/Candidate.java
+++ b/core/src/main/java/io/fuchsiastand/routing/Candidate.java
@@ -123,6 +123,18 @@
         avoidedUntil = clock.nanoTime() + AVOIDANCE_NANOS;
     }
 
+    /**
+     * Records the end of a call that was not sent because of the rate limit that the backend server named. Other candidates
+     * are preferred until the limit allows a call.
+     *
+     * @param clock the clock
+     * @param wait time until the limit allows a call
+     */
+    public void endRateLimited(Clock clock, Duration wait) {
+        inFlight.decrementAndGet();
+        avoidedUntil = clock.nanoTime() + wait.toNanos();
+    }
+
     /**
      * Returns whether a call to the backend server failed or was refused a short time ago.
      *
--- a/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/CallAttempts.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/CallAttempts.java
@@ -6,6 +6,7 @@
 
 import io.fuchsiastand.daemon.edge.RoutedRequest;
 import io.fuchsiastand.daemon.http.RefusalException;
+import io.fuchsiastand.error.ErrorCode;
 import io.fuchsiastand.retry.RetryBudget;
 import io.fuchsiastand.routing.Candidate;
 import io.fuchsiastand.time.Clock;
@@ -39,6 +40,9 @@
     boolean lastResort;
     // Whether the current attempt is a trial call to a backend server that is out of rotation.
     boolean trial;
+    // The shortest time, in milliseconds, until a backend server takes a call that its daemon refused; 0 if unknown.
+    private long minWaitMillis;
+    private boolean rateLimited;
     // Number of failed attempts that may have reached a backend server.
     int failedSends;
     boolean mayHaveRun;
@@ -68,6 +72,36 @@
         }
     }
 
+    // Records a refusal by the daemon of a candidate's host.
+    void recordRefusal(long waitMillis, boolean isRateLimited) {
+        rateLimited |= isRateLimited;
+        recordWait(waitMillis);
+    }
+
+    private void recordWait(long millis) {
+        if (millis > 0 && (minWaitMillis == 0 || millis < minWaitMillis)) {
+            minWaitMillis = millis;
+        }
+    }
+
+    // The refusal that the caller receives if no candidate is left.
+    RefusalException finalRefusal(long defaultRetryAfterMillis) {
+        if (lastRefusal != null) {
+            return withShortestWait(lastRefusal);
+        }
+        ErrorCode code = rateLimited ? ErrorCode.BACKEND_RATE_LIMITED : ErrorCode.NO_BACKEND;
+        return withShortestWait(RefusalException.notSent(code, code.title(), defaultRetryAfterMillis));
+    }
+
+    RefusalException withShortestWait(RefusalException r) {
+        return r.isNotSent() ? r.withRetryAfterMillis(retryAfterMillis(r.retryAfterMillis())) : r;
+    }
+
+    // Time after which one of the candidates that refused the request takes it.
+    long retryAfterMillis(long fallbackMillis) {
+        return minWaitMillis > 0 ? minWaitMillis : fallbackMillis;
+    }
+
     // An idempotent request is sent to a backend server with a probable fault rather than refused. A non-idempotent
     // request is refused, because it must not be sent again if it fails.
     private boolean hasLastResort() {
--- a/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/Dispatcher.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/Dispatcher.java
@@ -216,11 +216,7 @@
                         : board.directory().pick(a.service, a.tried, ThreadLocalRandom.current()))
                 .or(a::takeLastResort);
         if (picked.isEmpty()) {
-            return failed(
-                    a.lastRefusal != null
-                            ? a.lastRefusal
-                            : RefusalException.notSent(
-                                    ErrorCode.NO_BACKEND, ErrorCode.NO_BACKEND.title(), RETRY_AFTER_MILLIS));
+            return failed(a.finalRefusal(RETRY_AFTER_MILLIS));
         }
         Candidate c = picked.get();
         a.tried.add(c);
@@ -272,6 +268,12 @@
             }
         }
 
+        private void endRateLimited(long waitMillis) {
+            if (ended.compareAndSet(false, true)) {
+                candidate.endRateLimited(board.clock(), Duration.ofMillis(waitMillis));
+            }
+        }
+
         private void end(int load) {
             if (ended.compareAndSet(false, true)) {
                 candidate.recordAnswer(Duration.ofNanos(board.clock().nanoTime() - startNanos), load);
@@ -336,7 +338,13 @@
 
     private Single<StreamingHttpResponse> onError(CallAttempts a, Attempt attempt, Throwable e) {
         if (e instanceof RefusalException r) {
-            attempt.endFailed(-1);
+            boolean rateLimited = r.code() == ErrorCode.BACKEND_RATE_LIMITED;
+            if (rateLimited) {
+                attempt.endRateLimited(r.retryAfterMillis());
+            } else {
+                attempt.endFailed(-1);
+            }
+            a.recordRefusal(r.retryAfterMillis(), rateLimited);
             attempt.recordTrial(!r.isNotSent());
             a.recordFaultProbability(attempt.candidate, r.faultProbability());
             return onRefusal(a, r);
@@ -374,7 +382,7 @@
         if (r.isNotSent()) {
             a.lastRefusal = r;
         }
-        return a.tryRetry(r.isNotRun(), r.isNotSent()) ? retry(a) : failed(r);
+        return a.tryRetry(r.isNotRun(), r.isNotSent()) ? retry(a) : failed(a.withShortestWait(r));
     }
 
     private Single<StreamingHttpResponse> onResponse(CallAttempts a, Attempt attempt, StreamingHttpResponse r) {
@@ -392,7 +400,14 @@
         if (failed) {
             a.recordFaultProbability(
                     attempt.candidate, HeaderNames.parseDouble(h.get(HeaderNames.FAULT_PROBABILITY), 1));
-            attempt.endFailed(load);
+            long waitMillis = HeaderNames.parseLong(h.get(HeaderNames.WAIT), 0);
+            boolean rateLimited = h.contains(HeaderNames.RATE_LIMITED);
+            a.recordRefusal(waitMillis, rateLimited);
+            if (rateLimited) {
+                attempt.endRateLimited(waitMillis);
+            } else {
+                attempt.endFailed(load);
+            }
         } else {
             attempt.end(load);
         }
@@ -419,6 +434,9 @@
                     "picks",
                     a.attempts);
         }
+        if (notSent && a.retryAfterMillis(0) > 0) {
+            h.set(HeaderNames.RETRY_AFTER, conventions.retryAfterFormat().apply(a.retryAfterMillis(0)));
+        }
         CharSequence runState = h.get(HeaderNames.RUN_STATE);
         HeaderNames.removeInternal(h);
         if (runState != null) {
--- a/daemon/src/main/java/io/fuchsiastand/daemon/http/HeaderNames.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/http/HeaderNames.java
@@ -44,6 +44,16 @@
      * each other the latest one.
      */
     public static final String RATE_LIMIT = "fuchsiastand-rate-limit";
+    /**
+     * Time in milliseconds until the backend server takes another call, on a response to a call that was not sent to it; used
+     * only between daemons.
+     */
+    public static final String WAIT = "fuchsiastand-wait-ms";
+    /**
+     * Marks a response to a call that was not sent because of the rate limit that the backend server named; used only between
+     * daemons.
+     */
+    public static final String RATE_LIMITED = "fuchsiastand-rate-limited";
     /** Whether a backend server is about to leave its service; set to 1 in its responses and between daemons. */
     public static final String LEAVING = "fuchsiastand-leaving";
     /** Marks a call for which no other backend server is left; used only between daemons. */
--- a/daemon/src/main/java/io/fuchsiastand/daemon/http/RefusalException.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/http/RefusalException.java
@@ -117,6 +117,17 @@
         return new RefusalException(code(), getMessage(), false, retryAfterMillis, getCause());
     }
 
+    /**
+     * Returns a copy of this refusal with another time after which the caller may retry.
+     *
+     * @param millis the time in milliseconds
+     * @return a refusal that is otherwise equal
+     */
+    public RefusalException withRetryAfterMillis(long millis) {
+        return new RefusalException(
+                code(), getMessage(), notRun, millis, getCause(), rateLimitHeaders, notSent, faultProbability);
+    }
+
     /**
      * Returns whether the call certainly did not run.
      *
--- a/daemon/src/main/java/io/fuchsiastand/daemon/owner/LocalBackend.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/owner/LocalBackend.java
@@ -361,6 +361,15 @@
         }
     }
 
+    /**
+     * Returns the rate limit.
+     *
+     * @return the rate limit that the backend server named
+     */
+    public BackendRateLimit rateLimit() {
+        return rateLimit;
+    }
+
     private void reportExcessCalls(long now) {
         int excess = rateLimit.excessCalls(now);
         if (excess > 0 && !excessReported) {
--- a/daemon/src/main/java/io/fuchsiastand/daemon/owner/OwnerService.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/owner/OwnerService.java
@@ -108,11 +108,17 @@
                 clock.nanoTime() + timeoutMillis * NANOS_PER_MILLI,
                 baseline,
                 request);
-        return run(call)
-                .onErrorReturn(
-                        RefusalException.class,
-                        e -> ProblemResponses.create(
-                                factory, context.executionContext().bufferAllocator(), e, host, conventions));
+        return run(call).onErrorReturn(RefusalException.class, e -> {
+            StreamingHttpResponse r = ProblemResponses.create(
+                    factory, context.executionContext().bufferAllocator(), e, host, conventions);
+            if (e.retryAfterMillis() > 0) {
+                r.headers().set(HeaderNames.WAIT, Long.toString(e.retryAfterMillis()));
+            }
+            if (e.code() == ErrorCode.BACKEND_RATE_LIMITED) {
+                r.headers().set(HeaderNames.RATE_LIMITED, "1");
+            }
+            return r;
+        });
     }
 
     /**
@@ -130,21 +136,35 @@
         if (backend.health().state() == BackendState.DRAINING) {
             return failed(RefusalException.notSent(ErrorCode.NO_BACKEND, "the backend server is draining", 0));
         }
+        if (!backend.rateLimit().waitTime(clock.nanoTime()).isZero()) {
+            return failed(rateLimited(backend));
+        }
         return defer(() -> acquireSlot(backend, call).flatMap(permit -> sendIfAllowed(backend, call, permit)));
     }
 
     private Single<StreamingHttpResponse> sendIfAllowed(
             LocalBackend backend, BackendCall call, FairQueue.Permit permit) {
         long now = clock.nanoTime();
+        if (!backend.rateLimit().tryTake(now)) {
+            permit.release();
+            return failed(rateLimited(backend));
+        }
+        return sendIfSound(backend, call, permit, now);
+    }
+
+    private Single<StreamingHttpResponse> sendIfSound(
+            LocalBackend backend, BackendCall call, FairQueue.Permit permit, long now) {
         if (call.trial() && backend.health().state() == BackendState.EJECTED) {
             if (!backend.ejectionTrials().tryStart(now)) {
                 permit.release();
+                backend.rateLimit().putBack();
                 return failed(RefusalException.notSent(ErrorCode.BACKEND_SUSPECT, "no trial call is due", 0));
             }
             return send(backend, call, permit);
         }
         if (!backend.circuitBreaker().tryStartCall(call.idempotent(), call.lastResort(), now)) {
             permit.release();
+            backend.rateLimit().putBack();
             double faultProbability = backend.circuitBreaker().faultProbability(now);
             log.write(
                     "held back",
@@ -163,6 +183,12 @@
         return send(backend, call, permit);
     }
 
+    private RefusalException rateLimited(LocalBackend backend) {
+        long waitMillis = backend.rateLimit().waitTime(clock.nanoTime()).toMillis() + 1;
+        return RefusalException.notSent(
+                ErrorCode.BACKEND_RATE_LIMITED, ErrorCode.BACKEND_RATE_LIMITED.title(), waitMillis);
+    }
+
     // A call without a team is on an open route. It is assumed to come from a backend server that runs another call.
     // That call would fail too if this one were refused, so this one is more urgent than all calls of teams.
     private static int priorityOf(BackendCall call) {
--- a/daemon/src/test/java/io/fuchsiastand/daemon/Fleet.java
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/Fleet.java
@@ -21,6 +21,7 @@
 import io.fuchsiastand.daemon.board.Lifecycle;
 import io.fuchsiastand.daemon.board.Settings;
 import io.fuchsiastand.daemon.owner.LocalBackend;
+import io.fuchsiastand.error.FuchsiastandException;
 import io.fuchsiastand.key.Digests;
 import io.fuchsiastand.key.KeyBucket;
 import io.fuchsiastand.key.KeyEntry;
@@ -118,6 +119,27 @@
                         Digests.ofText(OPERATOR_CREDENTIAL));
     }
 
+    // Starts a daemon again that has been closed.
+    Daemon restart(int i) {
+        for (int attempt = 0; ; attempt++) {
+            try {
+                Daemon d = new Daemon(settings.get(i));
+                daemons.set(i, d);
+                return d;
+            } catch (FuchsiastandException e) {
+                // The sockets of the closed daemon may still be open for a short time.
+                if (attempt == 100) {
+                    throw e;
+                }
+                try {
+                    Thread.sleep(50);
+                } catch (InterruptedException x) {
+                    throw new IllegalStateException(x);
+                }
+            }
+        }
+    }
+
     BackendServerStandin startBackend(int daemon, String id, String service) throws Exception {
         BackendServerStandin b = new BackendServerStandin(id, service, 0);
         backends.add(b);
--- a/daemon/src/test/java/io/fuchsiastand/daemon/FleetFailureTest.java
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/FleetFailureTest.java
@@ -11,7 +11,6 @@
 import io.fuchsiastand.config.Json;
 import io.fuchsiastand.daemon.admin.FleetStatus;
 import io.fuchsiastand.daemon.board.Lifecycle;
-import io.fuchsiastand.error.FuchsiastandException;
 import io.fuchsiastand.key.Digests;
 import io.fuchsiastand.limit.ShardEntry;
 import io.fuchsiastand.standin.BackendFaults;
@@ -86,7 +85,7 @@
     void usesAllHalvesAgainAfterADaemonCrashesAndRestartsWhileThePlatformIsUnavailable() throws Exception {
         fleet.objects.setFaults(UNAVAILABLE);
         fleet.daemons.get(2).close();
-        Daemon restarted = restart(2);
+        Daemon restarted = fleet.restart(2);
         // It finds its peers by the seeds in its settings, because it cannot read the join records in the store.
         Fleet.await(
                 "the restarted daemon has received the configuration from its peers",
@@ -147,7 +146,7 @@
         assertThat(sendOrder(0)).isEqualTo(200);
         for (int i = 0; i < 3; i++) {
             fleet.daemons.get(i).close();
-            Daemon restarted = restart(i);
+            Daemon restarted = fleet.restart(i);
             Fleet.await(
                     "the restarted daemon is ready", () -> restarted.status().lifecycle() == Lifecycle.READY);
             Fleet.await(
@@ -174,26 +173,6 @@
                 .statusCode();
     }
 
-    private Daemon restart(int i) {
-        for (int attempt = 0; ; attempt++) {
-            try {
-                Daemon d = new Daemon(fleet.settings.get(i));
-                fleet.daemons.set(i, d);
-                return d;
-            } catch (FuchsiastandException e) {
-                // The sockets of the closed daemon may still be open for a short time.
-                if (attempt == 100) {
-                    throw e;
-                }
-                try {
-                    Thread.sleep(50);
-                } catch (InterruptedException x) {
-                    throw new IllegalStateException(x);
-                }
-            }
-        }
-    }
-
     private boolean everyShardHasTwoHosts() {
         return fleet.daemons.get(0).status().members().size() == 3
                 && fleet.objects.list("shards/0").objects().stream()
--- a/standin/src/main/java/io/fuchsiastand/standin/BackendServerStandin.java
+++ b/standin/src/main/java/io/fuchsiastand/standin/BackendServerStandin.java
@@ -5,6 +5,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
+import java.util.OptionalDouble;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -47,7 +48,10 @@
         t.setDaemon(true);
         return t;
     });
+    private final ConcurrentLinkedQueue<Long> callTimes = new ConcurrentLinkedQueue<>();
     private volatile BackendFaults faults = BackendFaults.NONE;
+    private volatile OptionalDouble rateLimit = OptionalDouble.empty();
+    private volatile boolean leaving;
     private BlockingHttpClient daemon;
 
     /**
@@ -108,6 +112,29 @@
         faults = next;
     }
 
+    /**
+     * Names a rate limit in all later responses, or no longer names one. The backend server does not enforce it.
+     *
+     * @param limit calls a second, or empty if there is no limit
+     */
+    public void setRateLimit(OptionalDouble limit) {
+        rateLimit = limit;
+    }
+
+    /** States in all later responses that the backend server is about to leave. It still renews its announcement. */
+    public void leave() {
+        leaving = true;
+    }
+
+    /**
+     * Returns when the backend server received the latest calls, at most 100,000.
+     *
+     * @return the times of {@link System#nanoTime}, in order of receipt; health checks do not count
+     */
+    public List<Long> callTimes() {
+        return List.copyOf(callTimes);
+    }
+
     /**
      * Returns the port that the server listens on.
      *
@@ -171,6 +198,23 @@
         if (request.path().equals("/health")) {
             return succeeded(factory.ok());
         }
+        callTimes.add(System.nanoTime());
+        if (callTimes.size() > MAX_RECORDED_CALLS) {
+            callTimes.poll();
+        }
+        return handleCall(context, request, factory).map(this::addStatements);
+    }
+
+    private StreamingHttpResponse addStatements(StreamingHttpResponse response) {
+        rateLimit.ifPresent(x -> response.headers().set("fuchsiastand-rate-limit", Double.toString(x)));
+        if (leaving) {
+            response.headers().set("fuchsiastand-leaving", "1");
+        }
+        return response;
+    }
+
+    private Single<StreamingHttpResponse> handleCall(
+            HttpServiceContext context, StreamingHttpRequest request, StreamingHttpResponseFactory factory) {
         BackendFaults f = faults;
         double random = ThreadLocalRandom.current().nextDouble();
         if (random < f.shedShare()) {
