--- a/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/Dispatcher.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/Dispatcher.java
@@ -395,22 +395,8 @@
         ServerSummary.parse(h.get(HeaderNames.SUMMARY))
                 .ifPresent(x -> baseline(a.service).observe(server, x));
         boolean failed = notRun || (status >= SERVER_ERROR && status != NOT_IMPLEMENTED);
-        int load = (int) HeaderNames.parseDouble(h.get(HeaderNames.LOAD), -1);
         attempt.recordTrial(!notSent);
-        if (failed) {
-            a.recordFaultProbability(
-                    attempt.candidate, HeaderNames.parseDouble(h.get(HeaderNames.FAULT_PROBABILITY), 1));
-            long waitMillis = HeaderNames.parseLong(h.get(HeaderNames.WAIT), 0);
-            boolean rateLimited = h.contains(HeaderNames.RATE_LIMITED);
-            a.recordRefusal(waitMillis, rateLimited);
-            if (rateLimited) {
-                attempt.endRateLimited(waitMillis);
-            } else {
-                attempt.endFailed(load);
-            }
-        } else {
-            attempt.end(load);
-        }
+        recordEnd(a, attempt, h, failed);
         if (failed && a.tryRetry(notRun, notSent)) {
             return r.messageBody()
                     .ignoreElements()
@@ -418,7 +404,39 @@
                     .onErrorComplete()
                     .concat(defer(() -> retry(a)));
         }
-        CharSequence refusedBy = h.get(HeaderNames.REFUSED_BY);
+        logRefusalByOwner(a, r, notRun);
+        if (notSent && a.retryAfterMillis(0) > 0) {
+            h.set(HeaderNames.RETRY_AFTER, conventions.retryAfterFormat().apply(a.retryAfterMillis(0)));
+        }
+        CharSequence runState = h.get(HeaderNames.RUN_STATE);
+        HeaderNames.removeInternal(h);
+        if (runState != null) {
+            h.set(HeaderNames.RUN_STATE, runState);
+        }
+        metrics.recordCall(a.routed.team(), a.service, board.clock().nanoTime() - a.startNanos);
+        Duration timeout = timeUntilDeadline(a).plus(REPORT_TIME);
+        return succeeded(r.transformMessageBody(b -> b.timeoutTerminal(timeout, timer)));
+    }
+
+    private void recordEnd(CallAttempts a, Attempt attempt, HttpHeaders h, boolean failed) {
+        int load = (int) HeaderNames.parseDouble(h.get(HeaderNames.LOAD), -1);
+        if (!failed) {
+            attempt.end(load);
+            return;
+        }
+        a.recordFaultProbability(attempt.candidate, HeaderNames.parseDouble(h.get(HeaderNames.FAULT_PROBABILITY), 1));
+        long waitMillis = HeaderNames.parseLong(h.get(HeaderNames.WAIT), 0);
+        boolean rateLimited = h.contains(HeaderNames.RATE_LIMITED);
+        a.recordRefusal(waitMillis, rateLimited);
+        if (rateLimited) {
+            attempt.endRateLimited(waitMillis);
+        } else {
+            attempt.endFailed(load);
+        }
+    }
+
+    private void logRefusalByOwner(CallAttempts a, StreamingHttpResponse r, boolean notRun) {
+        CharSequence refusedBy = r.headers().get(HeaderNames.REFUSED_BY);
         if (refusedBy != null) {
             log.write(
                     "refusal passed on",
@@ -428,23 +446,12 @@
                     "host",
                     refusedBy,
                     "status",
-                    status,
+                    r.status().code(),
                     "not run",
                     notRun,
                     "picks",
                     a.attempts);
         }
-        if (notSent && a.retryAfterMillis(0) > 0) {
-            h.set(HeaderNames.RETRY_AFTER, conventions.retryAfterFormat().apply(a.retryAfterMillis(0)));
-        }
-        CharSequence runState = h.get(HeaderNames.RUN_STATE);
-        HeaderNames.removeInternal(h);
-        if (runState != null) {
-            h.set(HeaderNames.RUN_STATE, runState);
-        }
-        metrics.recordCall(a.routed.team(), a.service, board.clock().nanoTime() - a.startNanos);
-        Duration timeout = timeUntilDeadline(a).plus(REPORT_TIME);
-        return succeeded(r.transformMessageBody(b -> b.timeoutTerminal(timeout, timer)));
     }
 
     private Duration timeUntilDeadline(CallAttempts a) {
