Keep the rate limit of a backend server when the daemon of its host restarts

A backend server got a new burst of calls each time the daemon of its host restarted: the new process does not know the limit and fills all slots before the first answer names it again. Callers on other hosts, whose daemons had passed on the limit, sent them.

The ingress daemons now keep the limit that the owner states with its answers and state it with each call. An owner that has had no answer of the backend server yet adopts it, and its bucket starts empty. A daemon that restarts first publishes a record without backend servers, so an ingress daemon keeps what it knows of removed ones (the latest 1,024) and finds it again by the start time of the process; the record of a host names it for this. Another process under the same name starts without a limit. Ruled out: the record of the host as the place to keep the limit; it is published by the process that has forgotten it.

--- a/bench/src/main/java/io/fuchsiastand/bench/capacity/Samples.java
+++ b/bench/src/main/java/io/fuchsiastand/bench/capacity/Samples.java
@@ -118,7 +118,7 @@
         List<BackendServer> list = new ArrayList<>();
         for (int s = 0; s < servers; s++) {
             int service = (i * servers + s) % Target.SERVICES;
-            list.add(new BackendServer("backend-" + s, "service-" + service, 3, BackendState.SERVING, 1, 0));
+            list.add(new BackendServer("backend-" + s, "service-" + service, 3, BackendState.SERVING, 1, 0, 0));
         }
         return new HostRecord("host-" + i, list);
     }
--- a/core/src/main/java/io/fuchsiastand/limit/BackendRateLimit.java
+++ b/core/src/main/java/io/fuchsiastand/limit/BackendRateLimit.java
@@ -52,6 +52,17 @@
         return true;
     }
 
+    /**
+     * Sets the limit if there is none.
+     *
+     * @param newRate calls a second
+     * @param now monotonic time
+     * @return whether there was none
+     */
+    public synchronized boolean setIfNone(double newRate, long now) {
+        return rate.isEmpty() && set(OptionalDouble.of(newRate), now);
+    }
+
     /**
      * Returns the limit.
      *
--- a/core/src/main/java/io/fuchsiastand/routing/BackendServer.java
+++ b/core/src/main/java/io/fuchsiastand/routing/BackendServer.java
@@ -11,5 +11,8 @@
  *     from an ejection
  * @param severity severity of its fault, by which ingress daemons order ejected backend servers when they take them out
  *     of rotation; 0 while it is not ejected
+ * @param incarnation number that distinguishes the processes that ran under the same name: the start time of the process
+ *     in milliseconds since 1970 or, if it is not given, the time at which the daemon of its host added it
  */
-public record BackendServer(String id, String service, int slots, BackendState state, double weight, double severity) {}
+public record BackendServer(
+        String id, String service, int slots, BackendState state, double weight, double severity, long incarnation) {}
--- a/core/src/main/java/io/fuchsiastand/routing/Candidate.java
+++ b/core/src/main/java/io/fuchsiastand/routing/Candidate.java
@@ -1,6 +1,7 @@
 package io.fuchsiastand.routing;
 
 import java.time.Duration;
+import java.util.OptionalDouble;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.random.RandomGenerator;
 
@@ -31,6 +32,7 @@
     private volatile long hostBlockedUntil = Long.MIN_VALUE;
     private volatile long avoidedUntil = Long.MIN_VALUE;
     private volatile double weight = 1;
+    private volatile OptionalDouble rateLimit = OptionalDouble.empty();
     private long trialPeriodNanos = MIN_TRIAL_PERIOD_NANOS;
     private long nextTrialNanos;
     private boolean trialScheduled;
@@ -123,6 +125,24 @@
         avoidedUntil = clock.nanoTime() + AVOIDANCE_NANOS;
     }
 
+    /**
+     * Records the rate limit that the daemon of the host stated with its latest answer.
+     *
+     * @param limit calls a second, or empty if it stated none
+     */
+    public void recordRateLimit(OptionalDouble limit) {
+        rateLimit = limit;
+    }
+
+    /**
+     * Returns the rate limit that the daemon of the host stated with its latest answer.
+     *
+     * @return calls a second, or empty if it stated none
+     */
+    public OptionalDouble rateLimit() {
+        return rateLimit;
+    }
+
     /**
      * Records the end of a call that was not sent because of the rate limit that the backend server named. Other candidates
      * are preferred until the limit allows a call.
--- a/core/src/main/java/io/fuchsiastand/routing/ServiceDirectory.java
+++ b/core/src/main/java/io/fuchsiastand/routing/ServiceDirectory.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -29,6 +30,8 @@
      */
     public static final double MAX_LOCAL_UTILISATION = 0.8;
 
+    private static final int MAX_REMOVED = 1024;
+
     private final String dataCentre;
     private final Clock clock;
     private final Function<String, Optional<Member>> members;
@@ -36,6 +39,20 @@
     private final Map<String, List<Candidate>> candidatesByService = new ConcurrentHashMap<>();
     private final Map<String, Map<String, Candidate>> candidatesByHost = new HashMap<>();
 
+    // Candidates that were removed, the oldest first. A daemon that restarts publishes a record without its backend
+    // servers
+    // before they announce themselves again. What their answers stated must not be forgotten then.
+    private final Map<ProcessKey, Candidate> removed = new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<ProcessKey, Candidate> eldest) {
+            return size() > MAX_REMOVED;
+        }
+    };
+
+    private record ProcessKey(String host, String id, long incarnation) {}
+
     /**
      * Creates a directory.
      *
@@ -68,23 +85,23 @@
             ids.add(s.id());
             changedServices.add(s.service());
             Candidate c = known.get(s.id());
-            if (c != null && c.server().service().equals(s.service())) {
+            if (c != null && isSameProcess(c.server(), s)) {
                 c.setServer(s);
                 continue;
             }
             if (c != null) {
                 remove(c, changedServices);
             }
-            Candidate added = new Candidate(record.host(), s);
+            Candidate added = restoreOrCreate(record.host(), s);
             known.put(s.id(), added);
             candidatesByService.merge(s.service(), List.of(added), ServiceDirectory::concat);
         }
         known.values().removeIf(c -> {
-            boolean removed = !ids.contains(c.server().id());
-            if (removed) {
+            boolean gone = !ids.contains(c.server().id());
+            if (gone) {
                 remove(c, changedServices);
             }
-            return removed;
+            return gone;
         });
         changedServices.forEach(this::updateWeights);
     }
@@ -219,8 +236,22 @@
         return members.apply(c.host()).map(Member::isReachable).orElse(false);
     }
 
+    private Candidate restoreOrCreate(String host, BackendServer s) {
+        Candidate c = removed.remove(new ProcessKey(host, s.id(), s.incarnation()));
+        if (c == null || !isSameProcess(c.server(), s)) {
+            return new Candidate(host, s);
+        }
+        c.setServer(s);
+        return c;
+    }
+
+    private static boolean isSameProcess(BackendServer a, BackendServer b) {
+        return a.incarnation() == b.incarnation() && a.service().equals(b.service());
+    }
+
     private void remove(Candidate c, Set<String> changedServices) {
         String service = c.server().service();
+        removed.put(new ProcessKey(c.host(), c.server().id(), c.server().incarnation()), c);
         changedServices.add(service);
         candidatesByService.computeIfPresent(service, (k, l) -> {
             List<Candidate> out = l.stream().filter(x -> x != c).toList();
--- a/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/Dispatcher.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/Dispatcher.java
@@ -298,6 +298,7 @@
                     a.failedSends > 0,
                     a.lastResort,
                     a.trial,
+                    c.rateLimit(),
                     x.priority(),
                     x.deadline(),
                     baseline,
@@ -324,6 +325,7 @@
         if (a.trial) {
             h.set(HeaderNames.TRIAL, "1");
         }
+        c.rateLimit().ifPresent(limit -> h.set(HeaderNames.RATE_LIMIT, Double.toString(limit)));
         h.set(HeaderNames.PRIORITY, Integer.toString(x.priority()));
         h.set(HeaderNames.BASELINE_FAILURES, Double.toString(baseline.failureShare()));
         h.set(HeaderNames.BASELINE_SLOW, Double.toString(baseline.slowMillis()));
@@ -397,6 +399,9 @@
         boolean failed = notRun || (status >= SERVER_ERROR && status != NOT_IMPLEMENTED);
         attempt.recordTrial(!notSent);
         recordEnd(a, attempt, h, failed);
+        if (!h.contains(HeaderNames.REFUSED_BY) || h.contains(HeaderNames.RATE_LIMITED)) {
+            attempt.candidate.recordRateLimit(HeaderNames.rateLimitOf(h));
+        }
         if (failed && a.tryRetry(notRun, notSent)) {
             return r.messageBody()
                     .ignoreElements()
--- a/daemon/src/main/java/io/fuchsiastand/daemon/http/HeaderConventions.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/http/HeaderConventions.java
@@ -105,8 +105,9 @@
      * @return calls a second, or empty if the response names no limit, or none that is a finite number of at least 0
      */
     public OptionalDouble rateLimitOf(HttpHeaders response) {
-        double limit = rateLimitHeader.isEmpty() ? -1 : HeaderNames.parseDouble(response.get(rateLimitHeader), -1);
-        return limit >= 0 && limit < Double.POSITIVE_INFINITY ? OptionalDouble.of(limit) : OptionalDouble.empty();
+        return rateLimitHeader.isEmpty()
+                ? OptionalDouble.empty()
+                : HeaderNames.parseRate(response.get(rateLimitHeader));
     }
 
     /**
--- a/daemon/src/main/java/io/fuchsiastand/daemon/http/HeaderNames.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/http/HeaderNames.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.OptionalDouble;
 
 import io.servicetalk.http.api.HttpHeaders;
 
@@ -139,6 +140,27 @@
         return v != null && NOT_RUN.contentEquals(v);
     }
 
+    /**
+     * Returns the rate limit of a backend server that another daemon states.
+     *
+     * @param h the headers of a request or a response between daemons
+     * @return the value of {@link #RATE_LIMIT} in calls a second, or empty if there is none
+     */
+    public static OptionalDouble rateLimitOf(HttpHeaders h) {
+        return parseRate(h.get(RATE_LIMIT));
+    }
+
+    /**
+     * Parses a rate.
+     *
+     * @param value the value of a header, or null
+     * @return calls a second, or empty if the value is null or not a finite number of at least 0
+     */
+    static OptionalDouble parseRate(CharSequence value) {
+        double rate = parseDouble(value, -1);
+        return rate >= 0 && rate < Double.POSITIVE_INFINITY ? OptionalDouble.of(rate) : OptionalDouble.empty();
+    }
+
     /**
      * Parses an integer.
      *
--- a/daemon/src/main/java/io/fuchsiastand/daemon/owner/BackendCall.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/owner/BackendCall.java
@@ -1,5 +1,7 @@
 package io.fuchsiastand.daemon.owner;
 
+import java.util.OptionalDouble;
+
 import io.fuchsiastand.health.Baseline;
 import io.servicetalk.http.api.StreamingHttpRequest;
 
@@ -14,6 +16,7 @@
  * @param retry whether an earlier attempt may have reached a backend server
  * @param lastResort whether no other backend server is left for the call
  * @param trial whether the ingress daemon sends the call to test a backend server that is out of rotation
+ * @param knownRateLimit the rate limit of the backend server that the ingress daemon knows, in calls a second, or empty
  * @param priority the priority of the call; 0 is the most urgent
  * @param deadline time on the monotonic clock of this host by which the call must finish, in nanoseconds
  * @param baseline typical failures and service times of the service
@@ -28,6 +31,7 @@
         boolean retry,
         boolean lastResort,
         boolean trial,
+        OptionalDouble knownRateLimit,
         int priority,
         long deadline,
         Baseline baseline,
--- a/daemon/src/main/java/io/fuchsiastand/daemon/owner/LocalBackend.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/owner/LocalBackend.java
@@ -42,6 +42,7 @@
     private final TrialPacer ejectionTrials = new TrialPacer();
     private final Clock clock;
     private final Map<Long, InFlightCall> calls = new ConcurrentHashMap<>();
+    private final long incarnation;
     private final AtomicLong lastCallNumber = new AtomicLong();
     // The newest baseline that a call carried. If the whole service slows down, calls are compared with its new speed.
     private volatile Baseline baseline = Baseline.UNKNOWN;
@@ -49,6 +50,8 @@
     private volatile long lastCallNanos;
     private volatile boolean idleReported;
     private final BackendRateLimit rateLimit = new BackendRateLimit();
+    // Whether a response of the backend server has named a limit or named none.
+    private volatile boolean rateLimitHeard;
     private volatile boolean excessReported;
     private volatile boolean leaving;
 
@@ -204,6 +207,7 @@
         this.announcement = announcement;
         this.client = client;
         this.clock = clock;
+        incarnation = announcement.born() == 0 ? clock.now().toEpochMilli() : announcement.born();
         queue = new FairQueue(announcement.slots(), service.queue(), clock);
         health = new BackendHealth(service.detection(), clock.nanoTime());
         lastCallNanos = clock.nanoTime();
@@ -347,12 +351,28 @@
      * @param limit calls a second, or empty if the response names none
      */
     public void recordRateLimit(OptionalDouble limit) {
+        rateLimitHeard = true;
         if (rateLimit.set(limit, clock.nanoTime())) {
             String text = limit.isPresent() ? Double.toString(limit.getAsDouble()) : "none";
             Logger.info("backend server {} named a rate limit: {}", announcement.id(), text);
         }
     }
 
+    /**
+     * Applies the rate limit that an ingress daemon knows, unless a response of the backend server has come to this daemon. A
+     * daemon that restarts learns the limit in this way before it sends the first call.
+     *
+     * @param limit calls a second, or empty if the ingress daemon knows of none
+     */
+    public void adoptRateLimit(OptionalDouble limit) {
+        if (!rateLimitHeard && limit.isPresent() && rateLimit.setIfNone(limit.getAsDouble(), clock.nanoTime())) {
+            Logger.info(
+                    "backend server {} named a rate limit before this daemon started: {}",
+                    announcement.id(),
+                    limit.getAsDouble());
+        }
+    }
+
     /** Records that a response of the backend server states that it is about to leave. */
     public void recordLeaving() {
         if (!leaving) {
@@ -406,6 +426,7 @@
                 announcement.slots(),
                 s,
                 health.weight(now),
-                health.severity());
+                health.severity(),
+                incarnation);
     }
 }
--- a/daemon/src/main/java/io/fuchsiastand/daemon/owner/OwnerService.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/owner/OwnerService.java
@@ -104,6 +104,7 @@
                 h.contains(HeaderNames.REPEATED),
                 h.contains(HeaderNames.LAST_RESORT),
                 h.contains(HeaderNames.TRIAL),
+                HeaderNames.rateLimitOf(h),
                 (int) HeaderNames.parseLong(h.get(HeaderNames.PRIORITY), 0),
                 clock.nanoTime() + timeoutMillis * NANOS_PER_MILLI,
                 baseline,
@@ -116,6 +117,7 @@
             }
             if (e.code() == ErrorCode.BACKEND_RATE_LIMITED) {
                 r.headers().set(HeaderNames.RATE_LIMITED, "1");
+                backends.apply(call.backend()).ifPresent(b -> setRateLimit(b, r.headers()));
             }
             return r;
         });
@@ -136,6 +138,7 @@
         if (backend.health().state() == BackendState.DRAINING) {
             return failed(RefusalException.notSent(ErrorCode.NO_BACKEND, "the backend server is draining", 0));
         }
+        backend.adoptRateLimit(call.knownRateLimit());
         if (!backend.rateLimit().waitTime(clock.nanoTime()).isZero()) {
             return failed(rateLimited(backend));
         }
@@ -183,6 +186,10 @@
         return send(backend, call, permit);
     }
 
+    private static void setRateLimit(LocalBackend backend, HttpHeaders h) {
+        backend.rateLimit().rate().ifPresent(x -> h.set(HeaderNames.RATE_LIMIT, Double.toString(x)));
+    }
+
     private RefusalException rateLimited(LocalBackend backend) {
         long waitMillis = backend.rateLimit().waitTime(clock.nanoTime()).toMillis() + 1;
         return RefusalException.notSent(
@@ -383,6 +390,7 @@
         HeaderNames.removeInternal(h);
         c.recordResponseHead();
         backend.health().summary().ifPresent(x -> h.set(HeaderNames.SUMMARY, x.toText()));
+        setRateLimit(backend, h);
         h.set(HeaderNames.LOAD, Integer.toString(backend.queue().load()));
         if (outcome == Outcome.SUCCESS) {
             log.countSuccess();
--- a/daemon/src/test/java/io/fuchsiastand/daemon/Fleet.java
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/Fleet.java
@@ -141,9 +141,13 @@
     }
 
     BackendServerStandin startBackend(int daemon, String id, String service) throws Exception {
+        return startBackend(daemon, id, service, 3);
+    }
+
+    BackendServerStandin startBackend(int daemon, String id, String service, int slots) throws Exception {
         BackendServerStandin b = new BackendServerStandin(id, service, 0);
         backends.add(b);
-        b.announce(settings.get(daemon).ports().admin(), 3);
+        b.announce(settings.get(daemon).ports().admin(), slots);
         await(id + " is in the rotation of every daemon", () -> daemons.stream()
                 .allMatch(d -> d.status().backends().stream().anyMatch(s -> s.id().equals(id) && s.weight() > 0)));
         return b;
--- a/daemon/src/test/java/io/fuchsiastand/daemon/RateLimitedBackendServerTest.java
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/RateLimitedBackendServerTest.java
@@ -6,7 +6,10 @@
 import java.util.List;
 import java.util.OptionalDouble;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 
+import io.fuchsiastand.standin.BackendFaults;
 import io.fuchsiastand.standin.BackendServerStandin;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -27,6 +30,7 @@
     private static final int SERVED = 200;
     private static final int REFUSED = 503;
 
+    private final ExecutorService callers = Executors.newCachedThreadPool();
     private Fleet fleet;
 
     @BeforeEach
@@ -37,6 +41,7 @@
     @AfterEach
     void stop() throws Exception {
         fleet.close();
+        callers.shutdownNow();
     }
 
     // Guards against a backend server that gets more calls than the limit it names (LIMIT).
@@ -92,6 +97,26 @@
         assertThat(callBothDaemons(Duration.ofSeconds(1))).doesNotContain(REFUSED);
     }
 
+    // Guards against a limit that the daemon of the host forgets when it restarts (LIMIT).
+    @Test
+    void getsNoMoreCallsThanItsRateLimitAllowsWhenTheDaemonOfItsHostRestarts() throws Exception {
+        BackendServerStandin limited = fleet.startBackend(0, "limited", "menu", 32);
+        limited.setRateLimit(OptionalDouble.of(1));
+        limited.setFaults(BackendFaults.slow(300));
+        long named = System.nanoTime();
+        callBothDaemons(GRACE);
+        for (int i = 0; i < 2; i++) {
+            fleet.daemons.get(0).close();
+            fleet.restart(0);
+            long callsBefore = limited.callCount();
+            Fleet.await("the backend server gets a call again", () -> {
+                callConcurrently(32);
+                return limited.callCount() > callsBefore;
+            });
+        }
+        assertCallsWithin(1, limited, named);
+    }
+
     // Guards against refusals that come late or whose Retry-After is not true.
     @Test
     void refusesACallAtOnceAndServesItAfterTheRetryAfter() throws Exception {
@@ -134,6 +159,14 @@
         return out;
     }
 
+    private void callConcurrently(int calls) {
+        List<CompletableFuture<HttpResponse<String>>> all = new ArrayList<>();
+        for (int i = 0; i < calls; i++) {
+            all.add(CompletableFuture.supplyAsync(() -> callOnce(1), callers));
+        }
+        all.forEach(CompletableFuture::join);
+    }
+
     private List<Integer> callDaemon(int daemon, Duration time) {
         List<Integer> statuses = new ArrayList<>();
         long end = System.nanoTime() + time.toNanos();
--- a/standin/src/main/java/io/fuchsiastand/standin/BackendServerStandin.java
+++ b/standin/src/main/java/io/fuchsiastand/standin/BackendServerStandin.java
@@ -40,6 +40,7 @@
 
     private final String id;
     private final String service;
+    private final long born = System.currentTimeMillis();
     private final ServerContext server;
     private final AtomicLong callCount = new AtomicLong();
     private final ConcurrentLinkedQueue<String> receivedCalls = new ConcurrentLinkedQueue<>();
@@ -63,8 +64,10 @@
      * @param port its port
      * @param slots its maximum number of concurrent calls
      * @param ttlSeconds the time after which the announcement expires, in seconds
+     * @param born when the backend server started, in milliseconds since 1970
      */
-    public record Announcement(String id, String service, String address, int port, int slots, int ttlSeconds) {}
+    public record Announcement(
+            String id, String service, String address, int port, int slots, int ttlSeconds, long born) {}
 
     /**
      * Starts a backend server on the loopback address.
@@ -89,7 +92,7 @@
      */
     public void announce(int adminPort, int slots) {
         daemon = HttpClients.forSingleAddress("127.0.0.1", adminPort).buildBlocking();
-        Announcement a = new Announcement(id, service, "127.0.0.1", port(), slots, 6);
+        Announcement a = new Announcement(id, service, "127.0.0.1", port(), slots, 6, born);
         announcer.scheduleWithFixedDelay(() -> announceOnce(a), 0, RENEWAL_PERIOD.toMillis(), TimeUnit.MILLISECONDS);
     }
 
