Count a rate-limited backend server with the capacity that it can use

The rotation counted the limited ones with all their slots, so that the floor allowed the ejection, and ingress daemons drew them as often as the others.

The owner now publishes the share of the slots that the limit leaves, rounded down to a power of two so that the record changes seldom, as part of the weight. Rotation uses the weight in every state, and counts an ejected backend server with it, too.

--- a/core/src/main/java/io/fuchsiastand/limit/BackendRateLimit.java
+++ b/core/src/main/java/io/fuchsiastand/limit/BackendRateLimit.java
@@ -23,6 +23,8 @@
     public static final double MIN_RATE = 0.2;
 
     private static final double NANOS_PER_SECOND = 1e9;
+    private static final double MILLIS_PER_SECOND = 1000;
+    private static final double MIN_SHARE = 1.0 / 16;
 
     private final TokenBucket bucket = new TokenBucket(0, 0, 0);
     private OptionalDouble rate = OptionalDouble.empty();
@@ -110,6 +112,22 @@
         return Duration.ofNanos((long) Math.ceil(missing / effectiveRate(rate) * NANOS_PER_SECOND));
     }
 
+    /**
+     * Returns the share of its capacity that the backend server can use within the limit. The share is rounded down to a power
+     * of two, so that it changes seldom.
+     *
+     * @param slots maximum number of concurrent calls
+     * @param meanMillis mean time of a call, in milliseconds, or 0 if unknown
+     * @return from 1/16 to 1; 1 if there is no limit or the mean time is unknown
+     */
+    public synchronized double capacityShare(int slots, double meanMillis) {
+        if (rate.isEmpty() || meanMillis <= 0) {
+            return 1;
+        }
+        double usedSlots = effectiveRate(rate) * meanMillis / MILLIS_PER_SECOND;
+        return Math.max(MIN_SHARE, Math.min(1, Math.scalb(1.0, Math.getExponent(usedSlots / slots))));
+    }
+
     /**
      * Records that a call is sent to the backend server.
      *
--- a/core/src/main/java/io/fuchsiastand/routing/BackendServer.java
+++ b/core/src/main/java/io/fuchsiastand/routing/BackendServer.java
@@ -8,7 +8,7 @@
  * @param slots maximum number of concurrent calls
  * @param state its state, as determined by the daemon of its host
  * @param weight share of its capacity that may be used now, 0 to 1; below 1 for a short time after it starts or returns
- *     from an ejection
+ *     from an ejection, and while it names a rate limit
  * @param severity severity of its fault, by which ingress daemons order ejected backend servers when they take them out
  *     of rotation; 0 while it is not ejected
  * @param incarnation number that distinguishes the processes that ran under the same name: the start time of the process
--- a/core/src/main/java/io/fuchsiastand/routing/Rotation.java
+++ b/core/src/main/java/io/fuchsiastand/routing/Rotation.java
@@ -9,8 +9,9 @@
  * Decides which backend servers of a service are in rotation. The daemon of a host sets the state of a failing backend
  * server to {@link BackendState#EJECTED}. This class takes these backend servers out of rotation, the most severe fault
  * first and in the same order in every daemon, but none whose removal would bring the slots in rotation below the floor
- * of the service. Backend servers that are unreachable, draining or starting already reduce these slots. Ejected
- * backend servers that stay in rotation because of the floor get a weight of 0.25, but count with all their slots.
+ * of the service. Backend servers that are unreachable, draining or starting, or that named a rate limit, already reduce
+ * these slots. Ejected backend servers that stay in rotation because of the floor get a weight of 0.25, but count with all
+ * their slots.
  */
 public final class Rotation {
 
@@ -39,7 +40,7 @@
                 c.setWeight(0);
                 continue;
             }
-            c.setWeight(s.state() == BackendState.STARTING ? s.weight() : 1);
+            c.setWeight(s.weight());
             availableSlots += s.slots() * c.weight();
             if (s.state() == BackendState.EJECTED) {
                 ejected.add(c);
@@ -55,14 +56,14 @@
         double remainingSlots = availableSlots;
         int removed = 0;
         for (Candidate c : ejected) {
-            double slotsAfterRemoval = remainingSlots - c.server().slots();
+            double slotsAfterRemoval = remainingSlots - c.server().slots() * c.weight();
             // At least one backend server stays in rotation, even if all are ejected and the floor is 0.
             if (slotsAfterRemoval >= minSlots && slotsAfterRemoval > 0) {
                 remainingSlots = slotsAfterRemoval;
                 c.setWeight(0);
                 removed++;
             } else {
-                c.setWeight(FLOOR_WEIGHT);
+                c.setWeight(FLOOR_WEIGHT * c.weight());
             }
         }
         return removed;
--- a/core/src/test/java/io/fuchsiastand/limit/BackendRateLimitTest.java
+++ b/core/src/test/java/io/fuchsiastand/limit/BackendRateLimitTest.java
@@ -68,6 +68,18 @@
         assertThat(takeAll(SECOND)).isEqualTo(1);
     }
 
+    @Test
+    void reducesTheCapacityByPowersOfTwo() {
+        assertThat(limit.capacityShare(3, 300)).isEqualTo(1);
+        limit.set(OptionalDouble.of(2.7), 0);
+        assertThat(limit.capacityShare(3, 300)).isEqualTo(0.25);
+        assertThat(limit.capacityShare(3, 0)).isEqualTo(1);
+        limit.set(OptionalDouble.of(100), 0);
+        assertThat(limit.capacityShare(3, 300)).isEqualTo(1);
+        limit.set(OptionalDouble.of(0), 0);
+        assertThat(limit.capacityShare(3, 300)).isEqualTo(0.0625);
+    }
+
     @Test
     void countsTheCallsBeyondTheLimitInTheWindow() {
         limit.set(OptionalDouble.of(1), 0);
--- a/daemon/src/main/java/io/fuchsiastand/daemon/owner/LocalBackend.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/owner/LocalBackend.java
@@ -425,7 +425,7 @@
                 announcement.service(),
                 announcement.slots(),
                 s,
-                health.weight(now),
+                health.weight(now) * rateLimit.capacityShare(announcement.slots(), queue.meanHoldMillis()),
                 health.severity(),
                 incarnation);
     }
