Send no calls to a backend server whose answers state that it leaves

Calls could reach a backend server for as long as it served after it had said in its answers that it leaves: owners learned that from announcements only, which may be lost, and a restart of the owner forgot it.

The owner stops new calls at the first answer that says so, refuses those that wait as not run, and says so to the ingress daemons, which take the backend server out of rotation on their own evidence. That holds for the process, known by its start time, also when the owner restarts and has to be told again. A process that starts later under the same name gets calls. Without a start time, a backend server and its successor cannot be told apart: announcements then count once the last one before the statement has expired. Ruled out: that announcements are enough, as owners are on the same host; the users' rule binds a machine to the answer it passed on.

--- a/core/src/main/java/io/fuchsiastand/routing/Candidate.java
+++ b/core/src/main/java/io/fuchsiastand/routing/Candidate.java
@@ -33,6 +33,7 @@
     private volatile long avoidedUntil = Long.MIN_VALUE;
     private volatile double weight = 1;
     private volatile OptionalDouble rateLimit = OptionalDouble.empty();
+    private volatile boolean leaving;
     private long trialPeriodNanos = MIN_TRIAL_PERIOD_NANOS;
     private long nextTrialNanos;
     private boolean trialScheduled;
@@ -143,6 +144,19 @@
         return rateLimit;
     }
 
+    void recordLeaving() {
+        leaving = true;
+    }
+
+    /**
+     * Returns whether an answer has stated that the backend server is about to leave.
+     *
+     * @return true if it gets no more calls
+     */
+    public boolean isLeaving() {
+        return leaving;
+    }
+
     /**
      * Records the end of a call that was not sent because of the rate limit that the backend server named. Other candidates
      * are preferred until the limit allows a call.
@@ -176,7 +190,7 @@
      * @return true if the backend server is ejected and out of rotation and a trial call is due
      */
     public synchronized boolean tryBeginTrial(Clock clock, RandomGenerator random) {
-        if (weight > 0 || server.state() != BackendState.EJECTED) {
+        if (weight > 0 || leaving || server.state() != BackendState.EJECTED) {
             return false;
         }
         long now = clock.nanoTime();
--- a/core/src/main/java/io/fuchsiastand/routing/Rotation.java
+++ b/core/src/main/java/io/fuchsiastand/routing/Rotation.java
@@ -36,7 +36,7 @@
         for (Candidate c : candidates) {
             BackendServer s = c.server();
             totalSlots += s.slots();
-            if (!isHostReachable.test(c) || s.state() == BackendState.DRAINING) {
+            if (!isHostReachable.test(c) || s.state() == BackendState.DRAINING || c.isLeaving()) {
                 c.setWeight(0);
                 continue;
             }
--- a/core/src/main/java/io/fuchsiastand/routing/ServiceDirectory.java
+++ b/core/src/main/java/io/fuchsiastand/routing/ServiceDirectory.java
@@ -106,6 +106,17 @@
         changedServices.forEach(this::updateWeights);
     }
 
+    /**
+     * Takes a backend server out of rotation for good, because an answer has stated that it is about to leave. A process that
+     * starts later under its name is not affected.
+     *
+     * @param c the backend server
+     */
+    public synchronized void recordLeaving(Candidate c) {
+        c.recordLeaving();
+        updateWeights(c.server().service());
+    }
+
     /**
      * Removes a host that left the fleet for good, with its backend servers.
      *
--- a/daemon/src/main/java/io/fuchsiastand/daemon/Daemon.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/Daemon.java
@@ -120,8 +120,8 @@
         join = new JoinController(board, store, gossip, configurationWatch.isPresent() ? tokenIssuers::tick : () -> {});
         platform = new PlatformController(board, store, limits, configuration::missingChunks);
         RequestLog log = new RequestLog(clock);
-        OwnerService owner =
-                new OwnerService(backends::find, clock, settings.host(), conventions, log, transport.timer());
+        OwnerService owner = new OwnerService(
+                backends::find, backends::leave, clock, settings.host(), conventions, log, transport.timer());
         Dispatcher dispatcher =
                 new Dispatcher(board, peers, owner, metrics, conventions, log, backends::retryShare, transport.timer());
         IdempotencyGuard idempotencyGuard =
--- a/daemon/src/main/java/io/fuchsiastand/daemon/Warmup.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/Warmup.java
@@ -62,6 +62,7 @@
                     clock);
             OwnerService owner = new OwnerService(
                     id -> Optional.of(backend),
+                    b -> {},
                     clock,
                     WARM_UP_NAME,
                     HeaderConventions.DEFAULT,
--- a/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/Dispatcher.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/Dispatcher.java
@@ -402,6 +402,9 @@
         if (!h.contains(HeaderNames.REFUSED_BY) || h.contains(HeaderNames.RATE_LIMITED)) {
             attempt.candidate.recordRateLimit(HeaderNames.rateLimitOf(h));
         }
+        if (h.contains(HeaderNames.LEAVING)) {
+            board.directory().recordLeaving(attempt.candidate);
+        }
         if (failed && a.tryRetry(notRun, notSent)) {
             return r.messageBody()
                     .ignoreElements()
--- a/daemon/src/main/java/io/fuchsiastand/daemon/owner/BackendController.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/owner/BackendController.java
@@ -100,6 +100,12 @@
             return false;
         }
         LocalBackend known = backends.get(a.id());
+        if (known != null && known.isLeaving() && a.born() == 0 && hasSameAddress(known, a)) {
+            // The announcement may come from the process that leaves or from a new one. Until the announcement of the
+            // first
+            // expires, it counts as that of the process that leaves.
+            return true;
+        }
         if (known != null && isRenewal(known, a)) {
             known.renew(a);
             if (a.draining()) {
@@ -148,14 +154,32 @@
         if (b == null) {
             return false;
         }
-        if (b.health().state() == BackendState.DRAINING) {
-            return true;
+        if (b.health().state() != BackendState.DRAINING) {
+            stopNewCalls(b);
+            Logger.info("backend server {} is draining", id);
+        }
+        return true;
+    }
+
+    /**
+     * Stops new calls to a backend server that states in a response that it is about to leave, as {@link #drain} does.
+     *
+     * @param b the backend server
+     */
+    public synchronized void leave(LocalBackend b) {
+        if (!b.isLeaving()) {
+            b.recordLeaving();
+            stopNewCalls(b);
+            Logger.info(
+                    "backend server {} states that it is about to leave",
+                    b.announcement().id());
         }
+    }
+
+    private void stopNewCalls(LocalBackend b) {
         b.health().drain(board.clock().nanoTime());
         b.queue().refuseAll(ErrorCode.NO_BACKEND);
-        Logger.info("backend server {} is draining", id);
         publish();
-        return true;
     }
 
     /**
--- a/daemon/src/main/java/io/fuchsiastand/daemon/owner/LocalBackend.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/owner/LocalBackend.java
@@ -375,10 +375,16 @@
 
     /** Records that a response of the backend server states that it is about to leave. */
     public void recordLeaving() {
-        if (!leaving) {
-            leaving = true;
-            Logger.info("backend server {} states that it is about to leave", announcement.id());
-        }
+        leaving = true;
+    }
+
+    /**
+     * Returns whether a response of the backend server has stated that it is about to leave.
+     *
+     * @return true if it leaves
+     */
+    public boolean isLeaving() {
+        return leaving;
     }
 
     /**
--- a/daemon/src/main/java/io/fuchsiastand/daemon/owner/OwnerService.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/owner/OwnerService.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.concurrent.TimeoutException;
+import java.util.function.Consumer;
 import java.util.function.Function;
 
 import io.fuchsiastand.daemon.http.HalfCloseDetection;
@@ -55,6 +56,7 @@
     private static final double MAX_QUEUE_WAIT_SHARE = 0.25;
 
     private final Function<String, Optional<LocalBackend>> backends;
+    private final Consumer<LocalBackend> onLeaving;
     private final Clock clock;
     private final String host;
     private final HeaderConventions conventions;
@@ -65,6 +67,7 @@
      * Creates the service.
      *
      * @param backends finds a backend server of this host by name
+     * @param onLeaving called with a backend server that states in a response that it is about to leave
      * @param clock the clock
      * @param host the name of this host
      * @param conventions the names of the headers that backend servers use
@@ -73,6 +76,7 @@
      */
     public OwnerService(
             Function<String, Optional<LocalBackend>> backends,
+            Consumer<LocalBackend> onLeaving,
             Clock clock,
             String host,
             HeaderConventions conventions,
@@ -81,6 +85,7 @@
         this.timer = timer;
         this.log = log;
         this.backends = backends;
+        this.onLeaving = onLeaving;
         this.clock = clock;
         this.host = host;
         this.conventions = conventions;
@@ -136,7 +141,7 @@
                     RefusalException.notSent(ErrorCode.NO_BACKEND, "the backend server is no longer on this host", 0));
         }
         if (backend.health().state() == BackendState.DRAINING) {
-            return failed(RefusalException.notSent(ErrorCode.NO_BACKEND, "the backend server is draining", 0));
+            return failed(draining());
         }
         backend.adoptRateLimit(call.knownRateLimit());
         if (!backend.rateLimit().waitTime(clock.nanoTime()).isZero()) {
@@ -147,6 +152,10 @@
 
     private Single<StreamingHttpResponse> sendIfAllowed(
             LocalBackend backend, BackendCall call, FairQueue.Permit permit) {
+        if (backend.isLeaving()) {
+            permit.release();
+            return failed(draining());
+        }
         long now = clock.nanoTime();
         if (!backend.rateLimit().tryTake(now)) {
             permit.release();
@@ -186,6 +195,10 @@
         return send(backend, call, permit);
     }
 
+    private static RefusalException draining() {
+        return RefusalException.notSent(ErrorCode.NO_BACKEND, "the backend server is draining", 0);
+    }
+
     private static void setRateLimit(LocalBackend backend, HttpHeaders h) {
         backend.rateLimit().rate().ifPresent(x -> h.set(HeaderNames.RATE_LIMIT, Double.toString(x)));
     }
@@ -391,6 +404,9 @@
         c.recordResponseHead();
         backend.health().summary().ifPresent(x -> h.set(HeaderNames.SUMMARY, x.toText()));
         setRateLimit(backend, h);
+        if (backend.isLeaving()) {
+            h.set(HeaderNames.LEAVING, "1");
+        }
         h.set(HeaderNames.LOAD, Integer.toString(backend.queue().load()));
         if (outcome == Outcome.SUCCESS) {
             log.countSuccess();
@@ -427,7 +443,7 @@
             backend.recordRateLimit(limit);
         }
         if (conventions.isLeaving(r.headers())) {
-            backend.recordLeaving();
+            onLeaving.accept(backend);
         }
     }
 
