Write the list of token issuers again when the store comes back older

After the store had come back from an older copy, hosts that had left counted as token issuers again, so that teams would be refused inside their rates; a list that was lost was never written again; and a list that a leaving host wrote then was ignored by daemons that held a higher revision.

Cause: the list was written once, and revisions of the store ordered the lists that daemons send each other, though the store gives them out again. Hosts are only ever removed from the list, so its version is now the number of those that were removed, and two lists are merged to the hosts that both contain. When the era of the store rises, one daemon, chosen by rendezvous hashing, writes the merged list; a host that leaves merges first, too. Ruled out: shares of more than one in sum; a host that has left issues nothing, whatever the list says.

--- a/core/src/main/java/io/fuchsiastand/limit/TokenIssuers.java
+++ b/core/src/main/java/io/fuchsiastand/limit/TokenIssuers.java
@@ -26,6 +26,7 @@
      */
     public static final int MAX_ISSUERS_PER_GROUP = 12;
 
+    private static final long MAX_HOSTS = 1_000_000_000;
     // The number of groups is the size of the first list divided by this number, rounded up.
     private static final int INITIAL_HOSTS_PER_GROUP = 64;
 
@@ -50,6 +51,27 @@
         return new TokenIssuers(hosts.stream().filter(h -> !h.equals(host)).toList(), groups);
     }
 
+    /**
+     * Removes all hosts that another list does not contain. Lists that were written independently of each other, because the
+     * store lost one of them, are merged in this way.
+     *
+     * @param other another list
+     * @return the list of the hosts that both lists contain
+     */
+    public TokenIssuers intersect(TokenIssuers other) {
+        return new TokenIssuers(hosts.stream().filter(other.hosts::contains).toList(), groups);
+    }
+
+    /**
+     * Returns the version of the list, by which daemons order the lists that they receive. It does not depend on the version of
+     * the object in the store, which may be given out again.
+     *
+     * @return a number that rises with each host that is removed
+     */
+    public long version() {
+        return MAX_HOSTS - hosts.size();
+    }
+
     /**
      * Returns the shares of the tokens that a host issues.
      *
--- a/daemon/src/main/java/io/fuchsiastand/daemon/store/TokenIssuersController.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/store/TokenIssuersController.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.UUID;
 import java.util.function.Consumer;
 import java.util.function.ToDoubleFunction;
@@ -40,6 +41,8 @@
     private final Consumer<ToDoubleFunction<String>> shareListener;
     private final long startNanos;
     private boolean storeRead;
+    // The era of the store in which the list was last read or written.
+    private long listEra;
 
     /**
      * Creates the controller.
@@ -61,11 +64,19 @@
         board.records().listen(this::onRecord);
     }
 
-    /** Reads the list, or creates it if the store has none and this daemon is selected to do so. May block. */
+    /**
+     * Reads the list, or creates it if the store has none and this daemon is selected to do so. When the store has come back with
+     * older objects, the selected daemon writes the list again. May block.
+     */
     public void tick() {
-        if (board.records().get(LIST_NAME).isPresent()) {
+        Optional<TokenIssuers> known = knownList();
+        if (known.isPresent()) {
+            if (store.era() != listEra && isCreator()) {
+                restore(known.get());
+            }
             return;
         }
+        listEra = store.era();
         if (!storeRead) {
             store.get(LIST_NAME).ifPresent(this::putRecord);
             storeRead = true;
@@ -85,41 +96,62 @@
         String self = board.settings().host();
         for (int i = 0; i < MAX_WRITE_TRIES; i++) {
             StoredObject o = store.get(LIST_NAME).orElse(null);
-            if (o == null || !Json.read(o.value(), TokenIssuers.class).hosts().contains(self)) {
+            if (o == null || !read(o.value()).hosts().contains(self)) {
                 return;
             }
-            byte[] value = Json.write(Json.read(o.value(), TokenIssuers.class).without(self));
-            try {
-                long version = store.put(
-                        LIST_NAME, value, o.version(), UUID.randomUUID().toString());
-                board.putRecord(LIST_NAME, version, value);
+            TokenIssuers stored = read(o.value());
+            if (tryWrite(knownList().map(stored::intersect).orElse(stored).without(self), o.version())) {
                 return;
-            } catch (FuchsiastandException e) {
-                if (e.code() != ErrorCode.CONFLICT) {
-                    throw e;
-                }
             }
         }
     }
 
-    private void create() {
-        List<String> hosts =
-                board.members().reachable().stream().map(Member::host).sorted().toList();
-        byte[] value = Json.write(TokenIssuers.initial(hosts));
+    // Writes the list again if the store has come back without it, or with one that still contains hosts that have
+    // left.
+    private void restore(TokenIssuers known) {
+        long era = store.era();
+        StoredObject o = store.get(LIST_NAME).orElse(null);
+        TokenIssuers merged = o == null ? known : known.intersect(read(o.value()));
+        boolean complete =
+                o != null && read(o.value()).hosts().size() == merged.hosts().size();
+        if (complete || tryWrite(merged, o == null ? StoredObject.ABSENT : o.version())) {
+            listEra = era;
+        }
+    }
+
+    // Returns false if another host has written the list first.
+    private boolean tryWrite(TokenIssuers list, long expected) {
+        byte[] value = Json.write(list);
         try {
-            long version = store.put(
-                    LIST_NAME, value, StoredObject.ABSENT, UUID.randomUUID().toString());
-            board.putRecord(LIST_NAME, version, value);
+            store.put(LIST_NAME, value, expected, UUID.randomUUID().toString());
+            board.putRecord(LIST_NAME, list.version(), value);
+            return true;
         } catch (FuchsiastandException e) {
             if (e.code() != ErrorCode.CONFLICT) {
                 throw e;
             }
+            return false;
+        }
+    }
+
+    private Optional<TokenIssuers> knownList() {
+        return board.records().get(LIST_NAME).map(r -> read(r.getValue().toByteArray()));
+    }
+
+    private static TokenIssuers read(byte[] value) {
+        return Json.read(value, TokenIssuers.class);
+    }
+
+    private void create() {
+        List<String> hosts =
+                board.members().reachable().stream().map(Member::host).sorted().toList();
+        if (!tryWrite(TokenIssuers.initial(hosts), StoredObject.ABSENT)) {
             store.get(LIST_NAME).ifPresent(this::putRecord);
         }
     }
 
     private void putRecord(StoredObject o) {
-        board.putRecord(LIST_NAME, o.version(), o.value());
+        board.putRecord(LIST_NAME, read(o.value()).version(), o.value());
     }
 
     private boolean isCreator() {
@@ -131,7 +163,7 @@
 
     private void onRecord(Record r) {
         if (r.getName().equals(LIST_NAME)) {
-            TokenIssuers issuers = Json.read(r.getValue().toByteArray(), TokenIssuers.class);
+            TokenIssuers issuers = read(r.getValue().toByteArray());
             String self = board.settings().host();
             boolean leaving = board.lifecycle().get() == Lifecycle.LEAVING;
             shareListener.accept(leaving ? team -> 0 : issuers.sharesOf(self));
--- a/daemon/src/test/java/io/fuchsiastand/daemon/store/TokenIssuersControllerTest.java
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/store/TokenIssuersControllerTest.java
@@ -69,6 +69,60 @@
         assertThat(share).isEqualTo(0);
     }
 
+    // Guards against hosts that have left and issue tokens again, on paper, when the store comes back older (CONFIG).
+    @Test
+    void writesTheListWithoutTheHostsThatHaveLeftWhenTheStoreComesBackOlder() {
+        long first = write(List.of("h0", "h1", "h2"), StoredObject.ABSENT);
+        store.makeCopy();
+        write(List.of("h0", "h1"), first);
+        controller.start();
+        controller.tick();
+        assertThat(share).isEqualTo(0.5);
+
+        store.restoreCopy();
+        controller.tick();
+        assertThat(hosts()).containsExactly("h0", "h1");
+        assertThat(share).isEqualTo(0.5);
+    }
+
+    // Guards against a list that no daemon writes again when the store comes back without it (CONFIG).
+    @Test
+    void writesTheListAgainWhenTheStoreComesBackWithoutIt() {
+        store.makeCopy();
+        write(List.of("h0", "h1"), StoredObject.ABSENT);
+        controller.start();
+        controller.tick();
+        store.restoreCopy();
+        controller.tick();
+
+        assertThat(hosts()).containsExactly("h0", "h1");
+    }
+
+    // Guards against a list that other daemons ignore, because its version in the store was given out before (CONFIG).
+    @Test
+    void publishesALaterListWithAHigherVersionWhenAHostLeavesAfterTheStoreCameBackOlder() {
+        long first = write(List.of("h0", "h1", "h2", "h3"), StoredObject.ABSENT);
+        store.makeCopy();
+        long second = write(List.of("h0", "h1", "h2"), first);
+        store.put("members/h2", new byte[0], StoredObject.ABSENT, "member");
+        write(List.of("h0", "h1"), second);
+        controller.start();
+        controller.tick();
+        long known = recordVersion();
+
+        store.restoreCopy();
+        controller.leave();
+        assertThat(hosts()).containsExactly("h0");
+        assertThat(recordVersion()).isGreaterThan(known);
+    }
+
+    private long recordVersion() {
+        return board.records()
+                .get(TokenIssuersController.LIST_NAME)
+                .orElseThrow()
+                .getVersion();
+    }
+
     private long write(List<String> hosts, long expected) {
         return store.put(
                 TokenIssuersController.LIST_NAME, Json.write(TokenIssuers.initial(hosts)), expected, "test" + expected);
--- a/standin/src/main/java/io/fuchsiastand/standin/MemoryObjectStore.java
+++ b/standin/src/main/java/io/fuchsiastand/standin/MemoryObjectStore.java
@@ -56,6 +56,9 @@
     private final TreeMap<String, StoredObject> objects = new TreeMap<>();
     private final TreeMap<Long, String> tombstones = new TreeMap<>();
     private final Map<Call, Long> counts = new EnumMap<>(Call.class);
+    private final TreeMap<String, StoredObject> copy = new TreeMap<>();
+    private long copyRevision;
+    private long era = 1;
     private long revision;
     /** Revision of the latest deletion whose tombstone has been removed; a watch from an earlier revision expires. */
     private long lastRemovedTombstoneRevision;
@@ -82,6 +85,31 @@
         return Map.copyOf(counts);
     }
 
+    /** Copies all objects, for {@link #restoreCopy}. */
+    public synchronized void makeCopy() {
+        copy.clear();
+        copy.putAll(objects);
+        copyRevision = revision;
+    }
+
+    /**
+     * Comes back with the objects of the copy. Later changes are lost, their revisions are given out again, and watches from
+     * later revisions expire. The era rises by one.
+     */
+    public synchronized void restoreCopy() {
+        objects.clear();
+        objects.putAll(copy);
+        tombstones.tailMap(copyRevision, false).clear();
+        revision = copyRevision;
+        era++;
+        notifyAll();
+    }
+
+    @Override
+    public synchronized long era() {
+        return era;
+    }
+
     @Override
     public Optional<StoredObject> get(String name) {
         countAndSimulateFaults(Call.GET);
--- a/store/src/main/java/io/fuchsiastand/store/ObjectStore.java
+++ b/store/src/main/java/io/fuchsiastand/store/ObjectStore.java
@@ -15,6 +15,16 @@
     /** The maximum size of a value in bytes. */
     int MAX_VALUE_BYTES = 1_000_000;
 
+    /**
+     * Returns the era of the store, which rises each time it comes back with older objects. Writes of earlier eras may be lost
+     * then, and versions and revisions are given out again.
+     *
+     * @return the era that the latest answer named; always 0 if the store names none
+     */
+    default long era() {
+        return 0;
+    }
+
     /**
      * Reads an object.
      *
