Write the join record again when the store comes back without it

A daemon that joined shortly before the store came back from an older copy could not be found in the store any more: each daemon wrote its join record once. A fleet that restarts as a whole would have missed it.

When the era of the store rises, each daemon looks for its own record, writes it if it is lost, and reads those of the others at the short intervals of its start. It reads first, so that a large fleet does not spend the store's rate of writes.

--- a/daemon/src/main/java/io/fuchsiastand/daemon/store/JoinController.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/store/JoinController.java
@@ -28,6 +28,8 @@
  * finds the fleet when it starts. After that, the daemon receives changes of the fleet by gossip, and this controller
  * reads the store at growing intervals. One daemon of the fleet, which rendezvous hashing selects, also deletes the join
  * records of hosts that have been dead for longer than {@code MIN_DEAD_TIME}.
+ *
+ * <p>When the store comes back with older objects, each daemon writes its join record again if it is lost.
  */
 public final class JoinController {
 
@@ -36,6 +38,7 @@
 
     private static final Duration INITIAL_INTERVAL = Duration.ofMillis(700);
     private static final Duration MAX_INTERVAL = Duration.ofMinutes(1);
+    private static final Duration ERA_CHECK_INTERVAL = Duration.ofMillis(500);
     private static final Duration MIN_DEAD_TIME = Duration.ofMinutes(5);
 
     private final Blackboard board;
@@ -47,6 +50,8 @@
     private volatile boolean running = true;
     private volatile boolean loaded;
     private boolean recordWritten;
+    // The era of the store before the join record was last written or found in it.
+    private long recordEra;
 
     /**
      * The join record of a host.
@@ -90,8 +95,8 @@
                     Logger.info("the object store answers again after {} failures", failures);
                 }
                 failures = 0;
-                Pause.sleep(interval);
-                interval = min(interval.multipliedBy(2), MAX_INTERVAL);
+                interval =
+                        sleepUnlessRestored(interval) ? min(interval.multipliedBy(2), MAX_INTERVAL) : INITIAL_INTERVAL;
             } catch (FuchsiastandException e) {
                 if (failures++ == 0) {
                     Logger.warn(
@@ -128,12 +133,29 @@
         }
     }
 
+    // Returns false if the store came back with older objects during the interval.
+    private boolean sleepUnlessRestored(Duration interval) {
+        long end = board.clock().nanoTime() + interval.toNanos();
+        while (running && board.clock().nanoTime() - end < 0) {
+            if (store.era() != recordEra) {
+                return false;
+            }
+            Pause.sleep(ERA_CHECK_INTERVAL);
+        }
+        return true;
+    }
+
     private void writeJoinRecord() {
-        if (recordWritten) {
+        long era = store.era();
+        if (recordWritten && era == recordEra) {
             return;
         }
         Member self = board.members().self();
         String name = NAME_PREFIX + self.host();
+        if (recordWritten && store.get(name).isPresent()) {
+            recordEra = era;
+            return;
+        }
         byte[] value = Json.write(new JoinRecord(self.host(), self.address(), self.peerPort()));
         try {
             store.put(name, value, StoredObject.ABSENT, UUID.randomUUID().toString());
@@ -144,6 +166,7 @@
             replace(name, value);
         }
         recordWritten = true;
+        recordEra = era;
     }
 
     // Replaces the record that an earlier process of this host left, unless it is the same, as it usually is.
