Count calls against a rate limit only while there is one

The owner kept the start times of the calls of the last 4 s for each backend server, although only those of a server that names a limit are reported. Comments that the formatter had broken are rewrapped. No call is treated differently; BackendRateLimitTest and RateLimitedBackendServerTest pass.

--- a/core/src/main/java/io/fuchsiastand/limit/BackendRateLimit.java
+++ b/core/src/main/java/io/fuchsiastand/limit/BackendRateLimit.java
@@ -29,7 +29,7 @@
     private final TokenBucket bucket = new TokenBucket(0, 0, 0);
     private OptionalDouble rate = OptionalDouble.empty();
     private long inForceSince;
-    // The start times of the calls within the window, the oldest first.
+    // The start times of the calls within the window, the oldest first; empty without a limit.
     private final Deque<Long> calls = new ArrayDeque<>();
 
     /**
@@ -129,13 +129,15 @@
     }
 
     /**
-     * Records that a call is sent to the backend server.
+     * Records that a call is sent to the backend server. Has no effect without a limit.
      *
      * @param now monotonic time
      */
     public synchronized void recordCall(long now) {
         forgetOldCalls(now);
-        calls.add(now);
+        if (rate.isPresent()) {
+            calls.add(now);
+        }
     }
 
     /**
--- a/core/src/main/java/io/fuchsiastand/routing/ServiceDirectory.java
+++ b/core/src/main/java/io/fuchsiastand/routing/ServiceDirectory.java
@@ -40,8 +40,7 @@
     private final Map<String, Map<String, Candidate>> candidatesByHost = new HashMap<>();
 
     // Candidates that were removed, the oldest first. A daemon that restarts publishes a record without its backend
-    // servers
-    // before they announce themselves again. What their answers stated must not be forgotten then.
+    // servers before they announce themselves again. What their answers stated must not be forgotten then.
     private final Map<ProcessKey, Candidate> removed = new LinkedHashMap<>() {
         private static final long serialVersionUID = 1L;
 
--- a/daemon/src/main/java/io/fuchsiastand/daemon/owner/BackendController.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/owner/BackendController.java
@@ -101,9 +101,8 @@
         }
         LocalBackend known = backends.get(a.id());
         if (known != null && known.isLeaving() && a.born() == 0 && hasSameAddress(known, a)) {
-            // The announcement may come from the process that leaves or from a new one. Until the announcement of the
-            // first
-            // expires, it counts as that of the process that leaves.
+            // It may come from the process that leaves or from a new one. Until the announcement of the first expires,
+            // it counts as that of the process that leaves.
             return true;
         }
         if (known != null && isRenewal(known, a)) {
