Accept first calls with an idempotency key after a daemon refuted a suspicion

Cause: an entry of the shard table names the incarnations of its founders. A daemon that had been suspected before the entry was created has refuted that with a higher incarnation, but compared its start time with the founders. So it took its log of keys for incomplete and answered that it is unknown whether the call ran. Ruled out: a log that is created before the entry arrives. The holder has the entry before it tracks a call, and one complete log suffices. Change: a process knows all incarnations that it has had, and compares these. Evidence: IdempotencyControllerTest.startsTheFirstCallWithAKeyAfterTheDaemonRefutedASuspicion failed (UNKNOWN) without the change and passes with it; a later process of the host still does not start the call.

--- a/core/src/main/java/io/fuchsiastand/limit/ShardEntry.java
+++ b/core/src/main/java/io/fuchsiastand/limit/ShardEntry.java
@@ -16,7 +16,7 @@
  *     takeover
  * @param unsettled hosts that may still hold leases of earlier epochs and may go on renewing them; while there are any,
  *     no daemon that has applied this entry grants requests
- * @param founders start times of the processes of the named hosts when the first entry of the shard was created
+ * @param founders incarnations of the named hosts when the first entry of the shard was created; each belongs to one process
  */
 public record ShardEntry(
         int shard,
--- a/core/src/main/java/io/fuchsiastand/membership/Membership.java
+++ b/core/src/main/java/io/fuchsiastand/membership/Membership.java
@@ -5,6 +5,7 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -57,6 +58,8 @@
     private final Map<String, long[]> ringPositions = new HashMap<>();
     // Null after a member change. Recomputed on the next use only, since a joining daemon applies many changes at once.
     private List<Member> neighbours = List.of();
+    // The incarnations that this process has had, one after the other.
+    private final Set<Long> ownIncarnations = new HashSet<>();
     private int lastProbedIndex;
     private int reachableCount = 1;
 
@@ -73,9 +76,21 @@
         this.random = random;
         members.put(self.host(), self);
         enqueueUpdate(self.host());
+        ownIncarnations.add(self.incarnation());
     }
 
     /**
+    /**
+     * Returns whether this process has or had an incarnation. A process has more than one if it had to replace wrong updates
+     * about itself.
+     *
+     * @param incarnation the incarnation
+     * @return true if this process has used it
+     */
+    public synchronized boolean hasHadIncarnation(long incarnation) {
+        return ownIncarnations.contains(incarnation);
+    }
+
      * Registers a listener that is called when a member is added or its state or incarnation changes.
      *
      * @param listener called with the new or changed member
@@ -337,6 +352,7 @@
     }
 
     private void recordMember(Member m) {
+            ownIncarnations.add(u.getIncarnation() + 1);
         Member before = members.put(m.host(), m);
         reachableCount += (m.isReachable() ? 1 : 0) - (before != null && before.isReachable() ? 1 : 0);
         enqueueUpdate(m.host());
--- a/daemon/src/main/java/io/fuchsiastand/daemon/idempotency/IdempotencyController.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/idempotency/IdempotencyController.java
@@ -202,10 +202,10 @@
     private IdempotencyLog logOf(int shard) {
         return logs.computeIfAbsent(shard, k -> {
             IdempotencyLog log = new IdempotencyLog(board.clock().nanoTime());
-            // A process whose start time is among the founders has been holder or standby since the shard was created,
-            // so it has received every key of the shard.
+            // A process of which an incarnation is among the founders has been holder or standby since the shard was
+            // created, so it has received every key of the shard.
             if (limits.entry(shard)
-                    .filter(r -> r.founders().contains(board.startMillis()))
+                    .filter(r -> r.founders().stream().anyMatch(board.members()::hasHadIncarnation))
                     .isPresent()) {
                 log.markComplete();
             }
