Keep leases when a watch delivers the claim of this daemon before its answer

Cause: a daemon that claims a shard writes an entry of the next epoch. If a watch delivered this entry before the answer to the write, the daemon applied it like one of another process and ended its leases, and the completion of the claim then had no effect. Change: an entry that this daemon is writing is left to the completion of its claim. Entries of other processes are applied as before, also while a claim is open. Evidence: ShardTableWriterTest.keepsItsLeasesWhenAWatchDeliversItsClaimBeforeTheAnswer failed without the change (no usable half) and passes with it.

--- a/daemon/src/main/java/io/fuchsiastand/daemon/limit/LimitController.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/limit/LimitController.java
@@ -69,11 +69,30 @@
     public static final class LocalShard {
         private final ShardLeases leases;
         private final ShardLedger ledger = new ShardLedger();
+        // The entry of a claim of this daemon whose outcome is not known yet.
+        private ShardEntry claimedEntry;
 
         private LocalShard(ShardLeases leases) {
             this.leases = leases;
         }
 
+        /**
+         * Sets the entry that this daemon is writing to the shard table. A watch may deliver that entry before the answer to the
+         * write; it is then left to the completion of the claim, because an entry that another process wrote would end the
+         * leases.
+         *
+         * @param entry the entry, or null once the outcome of the write is known
+         */
+        public void setClaimedEntry(ShardEntry entry) {
+            claimedEntry = entry;
+        }
+
+        private void applyEntry(ShardEntry entry, long now) {
+            if (!entry.equals(claimedEntry)) {
+                leases.applyEntry(entry, now);
+            }
+        }
+
         /**
          * Returns the leases of this daemon on the shard.
          *
@@ -314,7 +333,7 @@
         LocalShard s = shards.get(entry.shard());
         if (s != null) {
             synchronized (s) {
-                s.leases.applyEntry(entry, board.clock().nanoTime());
+                s.applyEntry(entry, board.clock().nanoTime());
                 s.leases.confirmEpoch(entry.epoch(), requestedAt);
             }
         }
@@ -342,7 +361,7 @@
                 entry.includes(board.settings().host()) ? getOrCreateShard(entry.shard()) : shards.get(entry.shard());
         if (s != null) {
             synchronized (s) {
-                s.leases.applyEntry(entry, board.clock().nanoTime());
+                s.applyEntry(entry, board.clock().nanoTime());
             }
         }
     }
--- a/daemon/src/main/java/io/fuchsiastand/daemon/store/ShardTableWriter.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/store/ShardTableWriter.java
@@ -111,6 +111,7 @@
                 return confirmEpochIfDue(number, shard);
             }
             entry = leases.beginClaim(standby, now);
+            shard.setClaimedEntry(entry);
         }
         long expected = board.records()
                 .get(ShardEntry.name(number))
@@ -145,8 +146,8 @@
     private void tryWrite(int number, LimitController.LocalShard shard, Claim claim) {
         try {
             long version = claim.change().apply(store);
-            unansweredClaims.remove(number);
             synchronized (shard) {
+                endClaim(number, shard);
                 shard.leases().completeClaim(claim.entry(), board.clock().nanoTime());
             }
             board.putRecord(claim.entry().name(), version, claim.change().value());
@@ -160,7 +161,7 @@
                             : claim.entry().standby());
         } catch (FuchsiastandException e) {
             if (e.code() == ErrorCode.CONFLICT || e.code() == ErrorCode.UNRESOLVED) {
-                unansweredClaims.remove(number);
+                endClaim(number, shard);
                 Optional<ShardEntry> current = readEntry(number);
                 synchronized (shard) {
                     if (current.isPresent()
@@ -169,12 +170,19 @@
                     }
                 }
             } else if (e.code() != ErrorCode.PLATFORM_UNAVAILABLE) {
-                unansweredClaims.remove(number);
+                endClaim(number, shard);
                 throw e;
             }
         }
     }
 
+    private void endClaim(int number, LimitController.LocalShard shard) {
+        unansweredClaims.remove(number);
+        synchronized (shard) {
+            shard.setClaimedEntry(null);
+        }
+    }
+
     private Optional<ShardEntry> readEntry(int number) {
         long requestedAt = board.clock().nanoTime();
         Optional<StoredObject> found = store.get(ShardEntry.name(number));
