Give each port of a test fleet out once, below the range of outgoing connections

Cause: Fleet.freePort asked the system for any free port and closed it. The system gives such a port out again, to the next call or to an outgoing connection. Change: ports come from a range of their own, from 12000 to 31999, in turn; the first one depends on the process. Each is still tried before it is used.

--- a/daemon/src/test/java/io/fuchsiastand/daemon/Fleet.java
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/Fleet.java
@@ -1,5 +1,6 @@
 package io.fuchsiastand.daemon;
 
+import java.net.BindException;
 import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -10,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.UUID;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 
 import io.fuchsiastand.config.Configuration;
@@ -61,6 +63,11 @@
             burst = 2
             """;
     private static final long MAX_WAIT_MILLIS = 40_000;
+    private static final int FIRST_PORT = 12_000;
+    private static final int PORT_COUNT = 20_000;
+    // Test processes that run at the same time begin at different ports.
+    private static final AtomicInteger NEXT_PORT =
+            new AtomicInteger((int) (ProcessHandle.current().pid() * 997 % PORT_COUNT));
 
     final MemoryObjectStore objects = new MemoryObjectStore();
     final List<Daemon> daemons = new ArrayList<>();
@@ -243,9 +250,18 @@
         return UUID.randomUUID().toString();
     }
 
+    // Returns a port that no other call of this process returns. The range lies below that of outgoing connections, so
+    // that
+    // none of them takes the port before a daemon listens on it, or while the daemon restarts.
     static int freePort() throws Exception {
-        try (ServerSocket s = new ServerSocket(0)) {
-            return s.getLocalPort();
+        while (true) {
+            int port = FIRST_PORT + Math.floorMod(NEXT_PORT.getAndIncrement(), PORT_COUNT);
+            try (ServerSocket s = new ServerSocket(port)) {
+                return s.getLocalPort();
+            } catch (BindException e) {
+                // Another process listens on this port.
+                continue;
+            }
         }
     }
 }
