Let the raw backend server of tests announce that it closes its connections

Cause: the test backend server closed each connection a moment after its response without saying so. A call that came in between was sent on that connection and lost; a call that must not be repeated is then answered 502. That is right of the daemon: RFC 9112 leaves a client no other way to know. Ruled out: a failure that overtakes the head of a response. Change: the backend server always closes 100 ms after its response, so that the mistake can't hide in a race, and the response that tests wait for announces the close. All checks stay.

--- a/daemon/src/test/java/io/fuchsiastand/daemon/EndlessResponseTest.java
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/EndlessResponseTest.java
@@ -137,7 +137,7 @@
         for (int i = 0; i < 3; i++) {
             call("GET");
         }
-        backend.response = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+        backend.response = RawBackendServer.LAST_RESPONSE;
         backend.endlessBytes = "";
         // The circuit breaker of the only backend server rejects the call.
         Answer a = call("POST");
--- a/daemon/src/test/java/io/fuchsiastand/daemon/HttpFramingTest.java
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/HttpFramingTest.java
@@ -62,7 +62,7 @@
 
     @BeforeEach
     void reset() throws Exception {
-        backend.response = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+        backend.response = RawBackendServer.LAST_RESPONSE;
         backend.closesAfterResponse = true;
         backend.delayMillis = 0;
         awaitSuccessfulCalls();
--- a/daemon/src/test/java/io/fuchsiastand/daemon/RawBackendServer.java
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/RawBackendServer.java
@@ -18,7 +18,12 @@
  */
 final class RawBackendServer implements AutoCloseable {
 
+    /** A complete response after which the backend server closes the connection, as it announces. */
+    static final String LAST_RESPONSE = "HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 2\r\n\r\nok";
+
     private static final int MAX_BLOCK_BYTES = 4096;
+    // Without an announcement of the close, a client would reuse the connection in this time and get no response.
+    private static final int CLOSE_DELAY_MILLIS = 100;
 
     private final ServerSocket server = new ServerSocket(0);
     /**
@@ -27,7 +32,7 @@
      */
     final List<String> events = new CopyOnWriteArrayList<>();
 
-    volatile String response = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+    volatile String response = LAST_RESPONSE;
     volatile boolean closesAfterResponse = true;
     /** Bytes that follow the response again and again until the client closes the connection; none if empty. */
     volatile String endlessBytes = "";
@@ -82,6 +87,9 @@
                     writeEndlessly(out);
                 }
             } while (!closesAfterResponse);
+            Thread.sleep(CLOSE_DELAY_MILLIS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
         } catch (IOException e) {
             events.add("broken: " + e.getMessage());
         }
