Accept a key ID that begins with a hyphen on the command line

Cause: the parser takes each word that begins with a hyphen for an option. Change: a word of the length of a key ID that is not the name of an option is an argument.

--- a/core/src/main/java/io/fuchsiastand/key/KeyEntry.java
+++ b/core/src/main/java/io/fuchsiastand/key/KeyEntry.java
@@ -12,7 +12,8 @@
  */
 public record KeyEntry(String digest, String team, Instant given, Instant withdrawn) {
 
-    private static final int ID_LENGTH = 12;
+    /** The length of a public ID in characters. */
+    public static final int ID_LENGTH = 12;
 
     /**
      * Returns the public ID of the key, which is the start of its digest.
--- a/tools/src/main/java/io/fuchsiastand/tools/Fuchsiactl.java
+++ b/tools/src/main/java/io/fuchsiastand/tools/Fuchsiactl.java
@@ -8,6 +8,7 @@
 
 import io.fuchsiastand.error.ErrorCode;
 import io.fuchsiastand.error.FuchsiastandException;
+import io.fuchsiastand.key.KeyEntry;
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
 
@@ -74,7 +75,7 @@
             return help ? EXIT_OK : EXIT_USAGE;
         }
         Command command = constructor.get();
-        CmdLineParser parser = new CmdLineParser(command);
+        CmdLineParser parser = new KeyIdAwareParser(command);
         try {
             parser.parseArgument(Arrays.copyOfRange(args, hasTwoWords ? 2 : 1, args.length));
         } catch (CmdLineException e) {
@@ -90,6 +91,21 @@
         return execute(command, out, err);
     }
 
+    /** Takes a word that has the length of a key ID and is not the name of an option as an argument, even if it begins with "-". */
+    private static final class KeyIdAwareParser extends CmdLineParser {
+
+        private KeyIdAwareParser(Command command) {
+            super(command);
+        }
+
+        @Override
+        protected boolean isOption(String word) {
+            boolean mayBeKeyId = word.length() == KeyEntry.ID_LENGTH
+                    && getOptions().stream().noneMatch(o -> o.option.toString().equals(word));
+            return super.isOption(word) && !mayBeKeyId;
+        }
+    }
+
     private static int execute(Command command, PrintStream out, PrintStream err) {
         try {
             command.run(out);
--- a/tools/src/test/java/io/fuchsiastand/tools/FuchsiactlTest.java
+++ b/tools/src/test/java/io/fuchsiastand/tools/FuchsiactlTest.java
@@ -5,7 +5,9 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Instant;
 
+import io.fuchsiastand.key.KeyEntry;
 import io.fuchsiastand.standin.MemoryObjectStore;
 import io.fuchsiastand.standin.PlatformStandin;
 import org.junit.jupiter.api.AfterEach;
@@ -105,6 +107,25 @@
         assertThat(out()).contains("FS-4010");
     }
 
+    // One key ID in 64 begins with a hyphen, like an option.
+    @Test
+    void withdrawsAKeyWhoseIdBeginsWithAHyphen() {
+        KeyEntry entry = new KeyEntry("-abcdefghij_" + "A".repeat(31), "zermatt", Instant.EPOCH, null);
+        new KeyStore(objects).updateBucket(entry.digest(), b -> b.with(entry));
+
+        assertThat(run("key", "withdraw", "-abcdefghij_", "--platform", address()))
+                .isEqualTo(0);
+        run("key", "list", "--platform", address());
+        assertThat(out()).contains("-abcdefghij_");
+        assertThat(out()).contains("withdrawn");
+    }
+
+    @Test
+    void refusesAnUnknownOptionOfTheLengthOfAKeyId() {
+        assertThat(run("key", "list", "--unknown-op", "--platform", address())).isEqualTo(Fuchsiactl.EXIT_USAGE);
+        assertThat(err()).contains("FS-9008");
+    }
+
     @Test
     void refusesToGiveAKeyToAnUnknownTeam() {
         runWithFiles("apply");
