Announce the close of connections in the test of misdirected responses

Seen: with a close 100 ms after each response, a call of LeavingBackendServerTest.staysInRotationWhenAMisdirectedResponseStatesThatItsSenderLeaves was sent on a connection that the test backend server was closing, and was answered 502 (the same race as before in EndlessResponseTest and HttpFramingTest). Change: both responses announce the close. The checks stay.

--- a/daemon/src/test/java/io/fuchsiastand/daemon/LeavingBackendServerTest.java
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/LeavingBackendServerTest.java
@@ -91,9 +91,9 @@
             Fleet.await("the backend server is in the rotation", () -> fleet.daemons.get(1).status().backends().stream()
                     .anyMatch(b -> b.id().equals("raw") && b.weight() > 0));
             raw.response = "HTTP/1.1 421 Misdirected\r\nfuchsiastand-leaving: 1\r\nfuchsiastand-rate-limit: 0\r\n"
-                    + "content-length: 0\r\n\r\n";
+                    + "connection: close\r\ncontent-length: 0\r\n\r\n";
             assertThat(fleet.get(1, "/till", Fleet.ZERMATT_KEY).statusCode()).isEqualTo(421);
-            raw.response = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+            raw.response = RawBackendServer.LAST_RESPONSE;
             for (int i = 0; i < 3; i++) {
                 assertThat(fleet.get(1, "/till", Fleet.ZERMATT_KEY).statusCode())
                         .isEqualTo(200);
