--- a/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/Dispatcher.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/Dispatcher.java
@@ -9,7 +9,6 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeoutException;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.DoubleSupplier;
 
@@ -224,63 +223,13 @@
             log.write("last resort", idOf(a), "server", c.server().id(), "suspicion", a.minFaultProbability);
         }
         c.begin();
-        Attempt attempt = new Attempt(c, a.trial);
+        Attempt attempt = new Attempt(c, a.trial, board.clock());
         return defer(() -> send(a, c))
                 .beforeCancel(attempt::endWithoutResult)
                 .onErrorResume(e -> onError(a, attempt, e))
                 .flatMap(r -> onResponse(a, attempt, r));
     }
 
-    /** One attempt to send a request to a candidate. Reports its end to the candidate once. */
-    private final class Attempt {
-        private final Candidate candidate;
-        private final boolean trial;
-        private final long startNanos = board.clock().nanoTime();
-        private final AtomicBoolean ended = new AtomicBoolean();
-
-        private Attempt(Candidate candidate, boolean trial) {
-            this.candidate = candidate;
-            this.trial = trial;
-        }
-
-        private void recordTrial(boolean accepted) {
-            if (trial) {
-                candidate.recordTrial(accepted);
-            }
-        }
-
-        private void endWithoutResult() {
-            if (ended.compareAndSet(false, true)) {
-                candidate.endWithoutResult();
-            }
-        }
-
-        private void endUnreachable() {
-            if (ended.compareAndSet(false, true)) {
-                candidate.endConnectionFailed(board.clock());
-            }
-        }
-
-        // A failed attempt is often short, so its duration must not count as latency of the backend server.
-        private void endFailed(int load) {
-            if (ended.compareAndSet(false, true)) {
-                candidate.endFailed(board.clock(), load);
-            }
-        }
-
-        private void endRateLimited(long waitMillis) {
-            if (ended.compareAndSet(false, true)) {
-                candidate.endRateLimited(board.clock(), Duration.ofMillis(waitMillis));
-            }
-        }
-
-        private void end(int load) {
-            if (ended.compareAndSet(false, true)) {
-                candidate.recordAnswer(Duration.ofNanos(board.clock().nanoTime() - startNanos), load);
-            }
-        }
-    }
-
     private Single<StreamingHttpResponse> send(CallAttempts a, Candidate c) {
         RoutedRequest x = a.routed;
         StreamingHttpRequest request = a.body == null ? x.request() : copy(x.request(), a.body);
@@ -348,7 +297,7 @@
             }
             a.recordRefusal(r.retryAfterMillis(), rateLimited);
             attempt.recordTrial(!r.isNotSent());
-            a.recordFaultProbability(attempt.candidate, r.faultProbability());
+            a.recordFaultProbability(attempt.candidate(), r.faultProbability());
             return onRefusal(a, r);
         }
         boolean timeout = e instanceof TimeoutException;
@@ -358,7 +307,7 @@
                 "path failed",
                 idOf(a),
                 "host",
-                attempt.candidate.host(),
+                attempt.candidate().host(),
                 "not sent",
                 notRun,
                 "error",
@@ -393,17 +342,17 @@
         boolean notRun = HeaderNames.isNotRun(h);
         boolean notSent = h.contains(HeaderNames.NOT_SENT);
         String server =
-                attempt.candidate.host() + '/' + attempt.candidate.server().id();
+                attempt.candidate().host() + '/' + attempt.candidate().server().id();
         ServerSummary.parse(h.get(HeaderNames.SUMMARY))
                 .ifPresent(x -> baseline(a.service).observe(server, x));
         boolean failed = notRun || (status >= SERVER_ERROR && status != NOT_IMPLEMENTED);
         attempt.recordTrial(!notSent);
         recordEnd(a, attempt, h, failed);
         if (!h.contains(HeaderNames.REFUSED_BY) || h.contains(HeaderNames.RATE_LIMITED)) {
-            attempt.candidate.recordRateLimit(HeaderNames.rateLimitOf(h));
+            attempt.candidate().recordRateLimit(HeaderNames.rateLimitOf(h));
         }
         if (h.contains(HeaderNames.LEAVING)) {
-            board.directory().recordLeaving(attempt.candidate);
+            board.directory().recordLeaving(attempt.candidate());
         }
         if (failed && a.tryRetry(notRun, notSent)) {
             return r.messageBody()
@@ -432,7 +381,7 @@
             attempt.end(load);
             return;
         }
-        a.recordFaultProbability(attempt.candidate, HeaderNames.parseDouble(h.get(HeaderNames.FAULT_PROBABILITY), 1));
+        a.recordFaultProbability(attempt.candidate(), HeaderNames.parseDouble(h.get(HeaderNames.FAULT_PROBABILITY), 1));
         long waitMillis = HeaderNames.parseLong(h.get(HeaderNames.WAIT), 0);
         boolean rateLimited = h.contains(HeaderNames.RATE_LIMITED);
         a.recordRefusal(waitMillis, rateLimited);
