Log and count calls that the retry budget keeps from being sent again

Operators could not tell whether a failed idempotent call had no other backend server or no retry left. A line "retry over budget" and the counter fuchsiastand_retries_over_budget name the second.

--- a/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/CallAttempts.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/CallAttempts.java
@@ -49,6 +49,8 @@
     // Number of attempts, also those that did not reach a backend server.
     int attempts;
 
+    // Whether the last attempt could have been followed by another one if the retry budget had allowed it.
+    boolean budgetExhausted;
     CallAttempts(RoutedRequest routed, String service, Buffer body, RetryBudget budget, Clock clock) {
         this.routed = routed;
         this.service = service;
@@ -139,6 +141,12 @@
         mayHaveRun |= !notRun;
         return (notRun || routed.isIdempotent())
                 && failedSends < routed.match().route().policy().mostAttempts()
-                && budget.tryRetry();
+                && tryRetryWithinBudget();
+    }
+
+    private boolean tryRetryWithinBudget() {
+        boolean allowed = budget.tryRetry();
+        budgetExhausted = !allowed;
+        return allowed;
     }
 }
--- a/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/Dispatcher.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/Dispatcher.java
@@ -169,6 +169,7 @@
         return nextAttempt(a)
                 .onErrorMap(RefusalException.class, r -> a.mayHaveRun && r.isNotRun() ? r.withUnknownRunState() : r)
                 .map(r -> {
+                .afterFinally(() -> logExhaustedBudget(a))
                     if (a.mayHaveRun && HeaderNames.isNotRun(r.headers())) {
                         r.headers().set(HeaderNames.RUN_STATE, HeaderNames.UNKNOWN);
                     }
@@ -415,6 +416,13 @@
         return Duration.ofNanos(Math.max(1, a.routed.deadline() - board.clock().nanoTime()));
     }
 
+    private void logExhaustedBudget(CallAttempts a) {
+        if (a.budgetExhausted) {
+            metrics.recordRetryOverBudget();
+            log.write("retry over budget", idOf(a), "service", a.service, "sends", a.failedSends);
+        }
+    }
+
     private Single<StreamingHttpResponse> retry(CallAttempts a) {
         metrics.recordRetry();
         if (a.failedSends > 0) {
--- a/daemon/src/main/java/io/fuchsiastand/daemon/metrics/Metrics.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/metrics/Metrics.java
@@ -38,6 +38,7 @@
     private final Map<CallTags, Timer> timers = new ConcurrentHashMap<>();
     private final Map<RefusalTags, Counter> refusals = new ConcurrentHashMap<>();
     private final Counter retries = registry.counter("fuchsiastand_retries");
+    private final Counter retriesOverBudget = registry.counter("fuchsiastand_retries_over_budget");
     private final Set<String> teams = ConcurrentHashMap.newKeySet();
 
     private record CallTags(String team, String service) {}
@@ -76,6 +77,11 @@
         retries.increment();
     }
 
+    /** Records a request that was not sent again only because the retry budget was used up. */
+    public void recordRetryOverBudget() {
+        retriesOverBudget.increment();
+    }
+
     /**
      * Registers a gauge.
      *
