Begin the first window of a retry budget with the process

Callers saw: in the first 10 s of traffic of a fleet that had long been running, idempotent calls failed although another backend server would have served them. Cause: a budget has no slack in its first window, so that no window has the slack of two processes of a host. The budget of a service is created with the first request for it, and so was its window; the process may be much older. Change: the window begins with the process. Evidence: RetryBudgetTest.grantsTheSlackToTheFirstRequestsOfAServiceWhenTheProcessHasRunForAWindow; the invariant of the fleet (FleetRetryBudgetTest) holds as before.

--- a/core/src/main/java/io/fuchsiastand/retry/RetryBudget.java
+++ b/core/src/main/java/io/fuchsiastand/retry/RetryBudget.java
@@ -41,15 +41,17 @@
      * @param ratio the maximum number of retries as a share of the requests
      * @param window the time over which retries and requests are counted
      * @param slack returns how many additional retries this daemon may make in a window
+     * @param processStart monotonic time at which this process started, in nanoseconds, or later; the budget may be created
+     *     much later, with the first request for the service
      * @param clock the clock
      */
-    public RetryBudget(double ratio, Duration window, DoubleSupplier slack, Clock clock) {
+    public RetryBudget(double ratio, Duration window, DoubleSupplier slack, long processStart, Clock clock) {
         this.ratio = ratio;
         this.slack = slack;
         this.clock = clock;
         sliceNanos = window.toNanos() / SLICES;
         currentSlice = clock.nanoTime() / sliceNanos;
-        slackAvailableFrom = clock.nanoTime() + window.toNanos();
+        slackAvailableFrom = processStart + window.toNanos();
     }
 
     /** Counts a request. */
@@ -70,7 +72,7 @@
             retriesInWindow += retries[i];
             requestsInWindow += requests[i];
         }
-        double availableSlack = clock.nanoTime() < slackAvailableFrom ? 0 : slack.getAsDouble();
+        double availableSlack = clock.nanoTime() - slackAvailableFrom < 0 ? 0 : slack.getAsDouble();
         if (retriesInWindow + 1 > RATIO_SAFETY_FACTOR * ratio * requestsInWindow + availableSlack) {
             return false;
         }
--- a/core/src/test/java/io/fuchsiastand/retry/FleetRetryBudgetTest.java
+++ b/core/src/test/java/io/fuchsiastand/retry/FleetRetryBudgetTest.java
@@ -61,7 +61,7 @@
     }
 
     private RetryBudget budget(int hosts) {
-        return new RetryBudget(RATIO, STEP.multipliedBy(WINDOW_STEPS), () -> SLACK / hosts, clock);
+        return new RetryBudget(RATIO, STEP.multipliedBy(WINDOW_STEPS), () -> SLACK / hosts, clock.nanoTime(), clock);
     }
 
     private static void check(int[] requests, int[] retries, int end) {
--- a/core/src/test/java/io/fuchsiastand/retry/RetryBudgetTest.java
+++ b/core/src/test/java/io/fuchsiastand/retry/RetryBudgetTest.java
@@ -12,7 +12,7 @@
     private static final Duration WINDOW = Duration.ofSeconds(10);
 
     private final ManualClock clock = new ManualClock();
-    private final RetryBudget budget = new RetryBudget(0.2, WINDOW, () -> 1, clock);
+    private final RetryBudget budget = new RetryBudget(0.2, WINDOW, () -> 1, clock.nanoTime(), clock);
 
     @Test
     void grantsADaemonItsShareOfTheSlackAfterItsFirstWindow() {
@@ -22,6 +22,21 @@
         assertThat(budget.tryRetry()).isFalse();
     }
 
+    // Guards against budgets of services without requests for a while after the start, which began their first window
+    // with
+    // the first request, so that none of the failures in the first 10 s of traffic was retried.
+    @Test
+    void grantsTheSlackToTheFirstRequestsOfAServiceWhenTheProcessHasRunForAWindow() {
+        long processStart = clock.nanoTime();
+        clock.advance(WINDOW);
+        RetryBudget first = new RetryBudget(0.2, WINDOW, () -> 2, processStart, clock);
+        first.recordRequest();
+
+        assertThat(first.tryRetry()).isTrue();
+        assertThat(first.tryRetry()).isTrue();
+        assertThat(first.tryRetry()).isFalse();
+    }
+
     @Test
     void limitsRetriesToTheRatioOfTheRequestsPlusTheSlack() {
         int requests = 0;
--- a/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/Dispatcher.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/Dispatcher.java
@@ -83,6 +83,7 @@
     private final RequestLog log;
     private final DoubleSupplier retryShare;
     private final Executor timer;
+    private final long startNanos;
     // The largest fleet size observed. If a network partition makes the fleet look smaller, each daemon's share of the
     // retry slack must not grow.
     private final AtomicInteger maxFleetSize = new AtomicInteger(MIN_FLEET_SIZE);
@@ -112,6 +113,7 @@
             RequestLog log,
             DoubleSupplier retryShare,
             Executor timer) {
+        startNanos = board.clock().nanoTime();
         this.timer = timer;
         this.retryShare = retryShare;
         this.log = log;
@@ -200,6 +202,7 @@
                 rules.retryRatio(),
                 rules.retryWindow(),
                 () -> rules.retrySlack() / maxFleetSize.accumulateAndGet(board.fleetSize(), Math::max),
+                startNanos,
                 board.clock());
     }
 
