Keep calls with large bodies in their data centre up to a higher load

Uploads of 60 KB on the mean cost most of the bytes between data centres. Calls left their data centre as soon as its backend servers were in use to four fifths, large bodies like small ones. Change: a call whose body has 16 KB or more, or an unknown length, leaves at a mean utilisation of 1.2, that is when it would wait for a part of a call. Evidence: ServiceDirectoryTest.keepsLargeBodiesInTheOwnDataCentreWhileAllItsSlotsAreTaken.

--- a/core/src/main/java/io/fuchsiastand/routing/ServiceDirectory.java
+++ b/core/src/main/java/io/fuchsiastand/routing/ServiceDirectory.java
@@ -30,6 +30,11 @@
      */
     public static final double MAX_LOCAL_UTILISATION = 0.8;
 
+    /**
+     * The same for a call with a large body, whose transfer to another data centre costs more than a short wait in a queue.
+     */
+    public static final double MAX_LOCAL_UTILISATION_FOR_LARGE_BODIES = 1.2;
+
     private static final int MAX_REMOVED = 1024;
 
     private final String dataCentre;
@@ -154,6 +159,21 @@
      *     those on usable hosts, all; {@link Candidate#isHostUsable} determines whether a host is usable
      */
     public Optional<Candidate> pick(String service, Set<Candidate> excluded, RandomGenerator random) {
+        return pick(service, excluded, MAX_LOCAL_UTILISATION, random);
+    }
+
+    /**
+     * Chooses a backend server for a call, as {@link #pick(String, Set, RandomGenerator)} does.
+     *
+     * @param service the name of the service
+     * @param excluded candidates that were already tried for this call
+     * @param maxLocalUtilisation mean utilisation of the usable backend servers of the own data centre at which the call may go
+     *     to another one
+     * @param random the source of random choices
+     * @return the candidate, or empty if there is none
+     */
+    public Optional<Candidate> pick(
+            String service, Set<Candidate> excluded, double maxLocalUtilisation, RandomGenerator random) {
         List<Candidate> all = candidatesByService.getOrDefault(service, List.of());
         List<Candidate> usable =
                 usable(all, c -> !excluded.contains(c) && c.isHostUsable(clock) && !c.isAvoided(clock));
@@ -175,7 +195,7 @@
                 load += c.utilisation();
             }
         }
-        boolean preferLocal = !local.isEmpty() && load / local.size() < MAX_LOCAL_UTILISATION;
+        boolean preferLocal = !local.isEmpty() && load / local.size() < maxLocalUtilisation;
         return Optional.of(pickBetterOfTwo(preferLocal ? local : usable, random));
     }
 
--- a/core/src/test/java/io/fuchsiastand/routing/ServiceDirectoryTest.java
+++ b/core/src/test/java/io/fuchsiastand/routing/ServiceDirectoryTest.java
@@ -1,8 +1,13 @@
 package io.fuchsiastand.routing;
 
 import java.util.Arrays;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.Random;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 
 import io.fuchsiastand.membership.Member;
 import io.fuchsiastand.protocol.MemberState;
@@ -56,6 +61,36 @@
         assertThat(find("ejected").weight()).isEqualTo(0);
     }
 
+    // The load: uploads in a data centre whose slots are all taken while another data centre is idle. A large body is
+    // sent
+    // there only when calls would have to wait long in the own one.
+    @Test
+    void keepsLargeBodiesInTheOwnDataCentreWhileAllItsSlotsAreTaken() {
+        directory.update(host(server("near", 1, BackendState.SERVING, 1)));
+        directory.update(new HostRecord("far-h1", List.of(server("far", 1, BackendState.SERVING, 1))));
+        for (int i = 0; i < 3; i++) {
+            find("near").begin();
+        }
+
+        assertThat(picksOf(ServiceDirectory.MAX_LOCAL_UTILISATION)).contains("far");
+        assertThat(picksOf(ServiceDirectory.MAX_LOCAL_UTILISATION_FOR_LARGE_BODIES))
+                .containsExactly("near");
+        find("near").begin();
+        assertThat(picksOf(ServiceDirectory.MAX_LOCAL_UTILISATION_FOR_LARGE_BODIES))
+                .contains("far");
+    }
+
+    private Set<String> picksOf(double maxLocalUtilisation) {
+        Random random = new Random(1);
+        return IntStream.range(0, 50)
+                .mapToObj(i -> directory
+                        .pick("menu", Set.of(), maxLocalUtilisation, random)
+                        .orElseThrow()
+                        .server()
+                        .id())
+                .collect(Collectors.toSet());
+    }
+
     private Candidate find(String id) {
         return directory.find("h0", id).orElseThrow();
     }
@@ -69,6 +104,7 @@
     }
 
     private static Optional<Member> member(String host) {
-        return Optional.of(new Member(host, "10.0.0.1", 8081, 8082, "dc0", 1, MemberState.ALIVE, 0));
+        String dataCentre = host.startsWith("far") ? "dc1" : "dc0";
+        return Optional.of(new Member(host, "10.0.0.1", 8081, 8082, dataCentre, 1, MemberState.ALIVE, 0));
     }
 }
--- a/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/CallAttempts.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/CallAttempts.java
@@ -9,6 +9,7 @@
 import io.fuchsiastand.error.ErrorCode;
 import io.fuchsiastand.retry.RetryBudget;
 import io.fuchsiastand.routing.Candidate;
+import io.fuchsiastand.routing.ServiceDirectory;
 import io.fuchsiastand.time.Clock;
 import io.servicetalk.buffer.api.Buffer;
 
@@ -20,6 +21,8 @@
     // server.
     static final int ATTEMPT_LIMIT = 8;
 
+    private static final int LARGE_BODY_BYTES = 16 * 1024;
+
     final RoutedRequest routed;
     final String service;
     final RetryBudget budget;
@@ -110,6 +113,14 @@
         return routed.isIdempotent() && lastResortCandidate != null && !lastResort;
     }
 
+    // Mean utilisation of the backend servers of the own data centre at which the call may go to another one.
+    double maxLocalUtilisation() {
+        boolean isLarge = body == null || body.readableBytes() >= LARGE_BODY_BYTES;
+        return isLarge
+                ? ServiceDirectory.MAX_LOCAL_UTILISATION_FOR_LARGE_BODIES
+                : ServiceDirectory.MAX_LOCAL_UTILISATION;
+    }
+
     // Only a call that can be sent again if it fails serves as a trial call, and only at its first attempt.
     boolean mayTry() {
         return attempts == 1 && routed.isIdempotent() && body != null;
--- a/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/Dispatcher.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/Dispatcher.java
@@ -216,7 +216,8 @@
         a.trial = forTrial.isPresent();
         Optional<Candidate> picked = forTrial.or(() -> a.attempts > CallAttempts.ATTEMPT_LIMIT
                         ? Optional.empty()
-                        : board.directory().pick(a.service, a.tried, ThreadLocalRandom.current()))
+                        : board.directory()
+                                .pick(a.service, a.tried, a.maxLocalUtilisation(), ThreadLocalRandom.current()))
                 .or(a::takeLastResort);
         if (picked.isEmpty()) {
             return failed(a.finalRefusal(RETRY_AFTER_MILLIS));
