--- a/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/CallAttempts.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/CallAttempts.java
@@ -49,11 +49,11 @@
     // Number of failed attempts that may have reached a backend server.
     int failedSends;
     boolean mayHaveRun;
+    // Whether the last attempt could have been followed by another one if the retry budget had allowed it.
+    boolean budgetExhausted;
     // Number of attempts, also those that did not reach a backend server.
     int attempts;
 
-    // Whether the last attempt could have been followed by another one if the retry budget had allowed it.
-    boolean budgetExhausted;
     CallAttempts(RoutedRequest routed, String service, Buffer body, RetryBudget budget, Clock clock) {
         this.routed = routed;
         this.service = service;
--- a/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/Dispatcher.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/Dispatcher.java
@@ -169,9 +169,9 @@
         // The result of the last attempt may state that the request has not run. That is corrected here if an earlier
         // attempt may have run.
         return nextAttempt(a)
+                .afterFinally(() -> logExhaustedBudget(a))
                 .onErrorMap(RefusalException.class, r -> a.mayHaveRun && r.isNotRun() ? r.withUnknownRunState() : r)
                 .map(r -> {
-                .afterFinally(() -> logExhaustedBudget(a))
                     if (a.mayHaveRun && HeaderNames.isNotRun(r.headers())) {
                         r.headers().set(HeaderNames.RUN_STATE, HeaderNames.UNKNOWN);
                     }
@@ -416,10 +416,6 @@
         }
     }
 
-    private Duration timeUntilDeadline(CallAttempts a) {
-        return Duration.ofNanos(Math.max(1, a.routed.deadline() - board.clock().nanoTime()));
-    }
-
     private void logExhaustedBudget(CallAttempts a) {
         if (a.budgetExhausted) {
             metrics.recordRetryOverBudget();
@@ -427,6 +423,10 @@
         }
     }
 
+    private Duration timeUntilDeadline(CallAttempts a) {
+        return Duration.ofNanos(Math.max(1, a.routed.deadline() - board.clock().nanoTime()));
+    }
+
     private Single<StreamingHttpResponse> retry(CallAttempts a) {
         metrics.recordRetry();
         if (a.failedSends > 0) {
