Let only issuers send token transfers, and share the wake-ups of periodic work

Of 31 daemons each sent a transfer of tokens every 400 ms to the aggregator of each token shard, though at most 12 hosts issue tokens for a team, and each answer listed all allowances of all shards; on 114 hosts that is 570 messages a second with two lists each. Each tick ordered all members by a hash that was computed at each comparison, and derived the token shards from the configuration again. A daemon woke up 23 times a second for periodic work. Not ruled out: interpreted code of the first calls. Change: a host without a share sends no transfers; an answer lists the allowances of the shard asked for; candidates and shards are derived again when the members or the configuration changed (Membership.changeCount); the choice of the aggregator is a module of core (TokenAggregators); gossip, backend servers and tokens share one wake-up every 200 ms, and the check for readiness ends once the daemon is ready. Transfers are sent every 200 ms in place of 400 ms: at 64 tokens a second, the issuers' stores (0.2 of the unused tokens that the rule allows) filled up between two transfers.

--- a/core/src/main/java/io/fuchsiastand/limit/DistributedTokenBuckets.java
+++ b/core/src/main/java/io/fuchsiastand/limit/DistributedTokenBuckets.java
@@ -104,6 +104,16 @@
         return out;
     }
 
+    /**
+     * Returns whether this daemon issues tokens for any of some allowances.
+     *
+     * @param keys the teams and services of the allowances
+     * @return true if its share of one of them is not 0
+     */
+    public synchronized boolean issuesAny(Set<TeamService> keys) {
+        return keys.stream().anyMatch(k -> stateOf(k).share > 0);
+    }
+
     /**
      * Adds tokens that another host has transferred. Tokens above the limit of the aggregator are discarded.
      *
--- a/core/src/main/java/io/fuchsiastand/membership/Membership.java
+++ b/core/src/main/java/io/fuchsiastand/membership/Membership.java
@@ -62,6 +62,7 @@
     private final Set<Long> ownIncarnations = new HashSet<>();
     private int lastProbedIndex;
     private int reachableCount = 1;
+    private long changes;
 
     /**
      * Creates the member list of one daemon, which contains only that daemon.
@@ -75,11 +76,10 @@
         this.clock = clock;
         this.random = random;
         members.put(self.host(), self);
-        enqueueUpdate(self.host());
         ownIncarnations.add(self.incarnation());
+        enqueueUpdate(self.host());
     }
 
-    /**
     /**
      * Returns whether this process has or had an incarnation. A process has more than one if it had to replace wrong updates
      * about itself.
@@ -91,6 +91,7 @@
         return ownIncarnations.contains(incarnation);
     }
 
+    /**
      * Registers a listener that is called when a member is added or its state or incarnation changes.
      *
      * @param listener called with the new or changed member
@@ -154,6 +155,16 @@
         return reachableCount;
     }
 
+    /**
+     * Returns the number of changes of members so far, by which a caller notices that what it derived from the members is
+     * outdated.
+     *
+     * @return a number that rises with each change
+     */
+    public synchronized long changeCount() {
+        return changes;
+    }
+
     /**
      * Returns the neighbours: the members that this daemon probes in turn, and from which it chooses the peers of its
      * anti-entropy exchanges.
@@ -236,6 +247,7 @@
                 recordMember(m.withState(MemberState.DEAD, m.incarnation(), now));
             } else if (!m.isReachable() && age >= DEAD_RETENTION.toNanos()) {
                 members.remove(m.host());
+                changes++;
                 remainingTransmissions.remove(m.host());
                 ringPositions.remove(m.host());
                 removalListeners.forEach(l -> l.accept(m.host()));
@@ -324,11 +336,15 @@
      */
     public static List<Member> rendezvousOrder(String purpose, Collection<Member> candidates) {
         return candidates.stream()
-                .sorted(Comparator.comparingLong((Member m) -> Digests.hash64(purpose + '/' + m.host()))
-                        .thenComparing(Member::host))
+                .map(m -> new Ranked(m, Digests.hash64(purpose + '/' + m.host())))
+                .sorted(Comparator.comparingLong(Ranked::rank)
+                        .thenComparing(r -> r.member().host()))
+                .map(Ranked::member)
                 .toList();
     }
 
+    private record Ranked(Member member, long rank) {}
+
     private void refute(MemberUpdate u) {
         Member me = members.get(self);
         boolean hasLeft = me.state() == MemberState.LEFT;
@@ -336,6 +352,7 @@
         // Only this host increases its incarnation, so a higher one comes from an earlier process of this daemon.
         boolean fromEarlierProcess = u.getState() == MemberState.ALIVE && u.getIncarnation() > me.incarnation();
         if (!hasLeft && (claimsNotAlive || fromEarlierProcess)) {
+            ownIncarnations.add(u.getIncarnation() + 1);
             recordMember(me.withState(MemberState.ALIVE, u.getIncarnation() + 1, clock.nanoTime()));
         }
     }
@@ -352,11 +369,11 @@
     }
 
     private void recordMember(Member m) {
-            ownIncarnations.add(u.getIncarnation() + 1);
         Member before = members.put(m.host(), m);
         reachableCount += (m.isReachable() ? 1 : 0) - (before != null && before.isReachable() ? 1 : 0);
         enqueueUpdate(m.host());
         neighbours = null;
+        changes++;
         listeners.forEach(l -> l.accept(m));
     }
 
--- a/daemon/src/main/java/io/fuchsiastand/daemon/Daemon.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/Daemon.java
@@ -5,8 +5,10 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 
 import io.fuchsiastand.daemon.admin.AdminService;
 import io.fuchsiastand.daemon.admin.FleetStatus;
@@ -257,16 +259,25 @@
     }
 
     private void startThreads() {
-        scheduleWithFixedDelay(Gossip.TICK_PERIOD, gossip::tick);
-        scheduleWithFixedDelay(BackendController.TICK_PERIOD, backends::tick);
-        scheduleWithFixedDelay(READY_CHECK_PERIOD, this::checkReady);
+        // Work of the same period shares its wake-ups.
+        List<Runnable> frequent = new ArrayList<>(List.of(gossip::tick, backends::tick));
+        if (configurationWatch.isPresent()) {
+            frequent.add(tokens::tick);
+        }
+        scheduleWithFixedDelay(Gossip.TICK_PERIOD, frequent);
+        AtomicReference<Future<?>> readyCheck = new AtomicReference<>();
+        readyCheck.set(scheduleWithFixedDelay(READY_CHECK_PERIOD, List.of(() -> {
+            checkReady();
+            if (board.lifecycle().get() != Lifecycle.STARTING && readyCheck.get() != null) {
+                readyCheck.get().cancel(false);
+            }
+        })));
         platformThreads.add(createThread(join::run, "join"));
         if (configurationWatch.isPresent()) {
-            scheduleWithFixedDelay(TokenController.TICK_PERIOD, tokens::tick);
             platformThreads.add(createThread(configurationWatch.get()::run, "configuration-watch"));
         } else {
-            scheduleWithFixedDelay(IdempotencyController.TICK_PERIOD, idempotency::tick);
-            scheduleWithFixedDelay(LimitController.TICK_PERIOD, limits::tick);
+            scheduleWithFixedDelay(IdempotencyController.TICK_PERIOD, List.of(idempotency::tick));
+            scheduleWithFixedDelay(LimitController.TICK_PERIOD, List.of(limits::tick));
             platformThreads.add(createThread(platform::watchLoop, "platform-watch"));
             platformThreads.add(createThread(platform::writeLoop, "platform-write"));
         }
@@ -287,15 +298,15 @@
                 || backends.all().stream().anyMatch(b -> b.queue().load() > 0);
     }
 
-    private void scheduleWithFixedDelay(Duration period, Runnable work) {
-        Runnable guarded = () -> {
+    private Future<?> scheduleWithFixedDelay(Duration period, List<Runnable> work) {
+        Runnable guarded = () -> work.forEach(w -> {
             try {
-                work.run();
+                w.run();
             } catch (RuntimeException e) {
                 Logger.error(e, "a periodic task failed; it runs again after its period");
             }
-        };
-        timer.scheduleWithFixedDelay(guarded, 0, period.toMillis(), TimeUnit.MILLISECONDS);
+        });
+        return timer.scheduleWithFixedDelay(guarded, 0, period.toMillis(), TimeUnit.MILLISECONDS);
     }
 
     private static Thread createThread(Runnable work, String name) {
--- a/daemon/src/main/java/io/fuchsiastand/daemon/PeerServer.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/PeerServer.java
@@ -92,12 +92,12 @@
 
     @Override
     public void give(GiveRequest request, StreamObserver<GiveReply> out) {
-        reply(out, tokens.onGive(request));
+        replyWhenDone(out, tokens.onGive(request));
     }
 
     @Override
     public void take(TakeRequest request, StreamObserver<TakeReply> out) {
-        reply(out, tokens.onTake(request));
+        replyWhenDone(out, tokens.onTake(request));
     }
 
     @Override
--- a/daemon/src/main/java/io/fuchsiastand/daemon/limit/TokenController.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/limit/TokenController.java
@@ -7,6 +7,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.ToDoubleFunction;
 
@@ -19,6 +21,7 @@
 import io.fuchsiastand.limit.DistributedTokenBuckets;
 import io.fuchsiastand.limit.Grant;
 import io.fuchsiastand.limit.TeamService;
+import io.fuchsiastand.limit.TokenAggregators;
 import io.fuchsiastand.limit.UnusedTokenLimits;
 import io.fuchsiastand.membership.Member;
 import io.fuchsiastand.membership.Membership;
@@ -45,11 +48,9 @@
  */
 public final class TokenController implements RateLimiter {
 
-    /** Time between two ticks, and so between two token transfers. */
-    public static final Duration TICK_PERIOD = Duration.ofMillis(400);
-
     private static final Duration CALL_TIMEOUT = Duration.ofMillis(250);
-    private static final Duration SKIP_DURATION = Duration.ofSeconds(2);
+    // Time after which an issuer asks an aggregator that needed no tokens again.
+    private static final Duration NEED_CHECK_PERIOD = Duration.ofMillis(400);
     private static final int MAX_CANDIDATES_PER_TOKEN_SHARD = 3;
     // There is one token shard per this many hosts, so that each host of a small fleet sends one transfer, not one per
     // team.
@@ -58,13 +59,16 @@
     private final Blackboard board;
     private final Peers peers;
     private final DistributedTokenBuckets buckets;
-    private final Map<String, Long> skippedUntil = new ConcurrentHashMap<>();
     // Aggregators to which a transfer from this daemon is in flight.
     private final Set<String> transfersInFlight = ConcurrentHashMap.newKeySet();
+    // The times of the last transfers, by aggregator.
+    private final Map<String, Long> lastTransfers = new ConcurrentHashMap<>();
     // For each aggregator, the allowances for which it needs tokens according to its last reply.
     private final Map<String, Set<TeamService>> neededAllowances = new ConcurrentHashMap<>();
-    // For each token shard, the candidates in order of preference. The first one that is not skipped is the aggregator.
-    private volatile Map<Integer, List<Member>> candidatesByTokenShard = Map.of();
+    private final TokenAggregators aggregators;
+    private volatile Map<Integer, Set<TeamService>> allowancesByTokenShard = Map.of();
+    // Only tick() uses it.
+    private Basis basis;
     private volatile Map<Integer, String> loggedAggregators = Map.of();
 
     /**
@@ -76,6 +80,7 @@
     public TokenController(Blackboard board, Peers peers) {
         this.board = board;
         this.peers = peers;
+        aggregators = new TokenAggregators(board.settings().host(), board.clock());
         FleetRules r = board.settings().rules();
         buckets = new DistributedTokenBuckets(
                 new UnusedTokenLimits(r.quotaWindow(), r.quotaOver(), r.quotaSlack()), this::allowance, board.clock());
@@ -92,51 +97,79 @@
 
     /** Chooses the aggregators and transfers the issued tokens to them. */
     public void tick() {
-        int tokenShards = tokenShardCount();
-        Map<Integer, Set<TeamService>> byTokenShard = new HashMap<>();
-        allowanceKeys().forEach(k -> byTokenShard
-                .computeIfAbsent(tokenShardOf(k, tokenShards), n -> new HashSet<>())
+        Basis current = new Basis(
+                board.members().changeCount(),
+                tokenShardCount(),
+                board.configuration().get().configuration());
+        if (!current.isSame(basis)) {
+            basis = current;
+            refresh(current);
+        }
+        allowancesByTokenShard.forEach(this::transfer);
+    }
+
+    /** What the candidates and the allowances by token shard are derived from. */
+    private record Basis(long memberChanges, int tokenShards, Configuration configuration) {
+
+        private boolean isSame(Basis other) {
+            return other != null
+                    && memberChanges == other.memberChanges
+                    && tokenShards == other.tokenShards
+                    && configuration == other.configuration;
+        }
+    }
+
+    private void refresh(Basis b) {
+        Map<Integer, Set<TeamService>> allowances = new HashMap<>();
+        allowanceKeys().forEach(k -> allowances
+                .computeIfAbsent(tokenShardOf(k, b.tokenShards()), n -> new HashSet<>())
                 .add(k));
-        Map<Integer, List<Member>> candidates = new HashMap<>();
+        Map<Integer, List<String>> candidates = new HashMap<>();
         List<Member> reachable = board.members().reachable();
-        for (int i = 0; i < tokenShards; i++) {
+        for (int i = 0; i < b.tokenShards(); i++) {
             candidates.put(
                     i,
                     Membership.rendezvousOrder("tokens/" + i, reachable).stream()
                             .limit(MAX_CANDIDATES_PER_TOKEN_SHARD)
+                            .map(Member::host)
                             .toList());
         }
-        candidatesByTokenShard = candidates;
+        aggregators.setCandidates(candidates);
+        allowancesByTokenShard = allowances;
         Set<TeamService> all = new HashSet<>();
-        byTokenShard.values().forEach(all::addAll);
+        allowances.values().forEach(all::addAll);
         buckets.retain(all);
-        byTokenShard.forEach(this::transfer);
     }
 
     /**
      * Adds the tokens that another daemon transfers to this one.
      *
-     * @param request the tokens by allowance
-     * @return the allowances for which this daemon needs more tokens
+     * @param request the tokens by allowance, all of one token shard
+     * @return the allowances for which the aggregator needs more tokens
      */
-    public GiveReply onGive(GiveRequest request) {
+    public CompletionStage<GiveReply> onGive(GiveRequest request) {
         for (TokenGift g : request.getGiftsList()) {
             buckets.receive(new TeamService(g.getTeam(), g.getAllowance()), g.getTokens());
         }
         GiveReply.Builder out = GiveReply.newBuilder();
-        for (TeamService k : buckets.needingTokens(allowanceKeys())) {
+        Set<TeamService> keys = allowancesByTokenShard.getOrDefault(request.getTokenShard(), Set.of());
+        for (TeamService k : buckets.needingTokens(keys)) {
             out.addWanted(TokenGift.newBuilder().setTeam(k.team()).setAllowance(k.service()));
         }
-        return out.build();
+        return CompletableFuture.completedFuture(out.build());
     }
 
     /**
-     * Takes a token from this daemon for a request that another daemon has received.
+     * Takes a token for a request that another daemon has received.
      *
      * @param request the team and the name of the allowance
      * @return the decision
      */
-    public TakeReply onTake(TakeRequest request) {
+    public CompletionStage<TakeReply> onTake(TakeRequest request) {
+        return CompletableFuture.completedFuture(takeHere(request));
+    }
+
+    private TakeReply takeHere(TakeRequest request) {
         DistributedTokenBuckets.Decision d = buckets.take(new TeamService(request.getTeam(), request.getAllowance()));
         return TakeReply.newBuilder()
                 .setGranted(d.granted())
@@ -146,45 +179,45 @@
 
     @Override
     public Single<Grant> acquire(String team, String allowance, long deadline) {
-        TeamService key = new TeamService(team, allowance);
-        List<Member> candidates = candidatesByTokenShard.getOrDefault(tokenShardOf(key, tokenShardCount()), List.of());
-        return take(key, candidates, 0);
+        TakeRequest request = TakeRequest.newBuilder()
+                .setFrom(board.settings().host())
+                .setTeam(team)
+                .setAllowance(allowance)
+                .build();
+        return take(request, 0).map(reply -> reply.map(r -> grant(r.getGranted(), r.getRetryAfterMillis()))
+                .orElse(Grant.NO_RIGHT));
     }
 
-    private Single<Grant> take(TeamService key, List<Member> candidates, int i) {
-        if (i == candidates.size()) {
-            return succeeded(Grant.NO_RIGHT);
+    // Returns an empty result if no candidate answered.
+    private Single<Optional<TakeReply>> take(TakeRequest request, int failures) {
+        TeamService key = new TeamService(request.getTeam(), request.getAllowance());
+        Member m = aggregators
+                .aggregator(tokenShardOf(key, tokenShardCount()))
+                .flatMap(board.members()::find)
+                .orElse(null);
+        if (m == null || failures == MAX_CANDIDATES_PER_TOKEN_SHARD) {
+            return succeeded(Optional.empty());
         }
-        Member m = candidates.get(i);
         if (isSelf(m)) {
-            DistributedTokenBuckets.Decision d = buckets.take(key);
-            return succeeded(grant(d.granted(), d.retryAfterMillis()));
-        }
-        if (isSkipped(m)) {
-            return take(key, candidates, i + 1);
+            return succeeded(Optional.of(takeHere(request)));
         }
-        TakeRequest request = TakeRequest.newBuilder()
-                .setFrom(board.settings().host())
-                .setTeam(key.team())
-                .setAllowance(key.service())
-                .build();
         return fromStage(peers.<TakeReply>call(m, CALL_TIMEOUT, (stub, o) -> stub.take(request, o)))
-                .map(r -> grant(r.getGranted(), r.getRetryAfterMillis()))
+                .map(Optional::of)
                 .onErrorResume(e -> {
-                    skip(m, e);
-                    return defer(() -> take(key, candidates, i + 1));
+                    skipOnError(m, e);
+                    return defer(() -> take(request, failures + 1));
                 });
     }
 
     private void transfer(int tokenShard, Set<TeamService> keys) {
-        Member m = candidatesByTokenShard.getOrDefault(tokenShard, List.of()).stream()
-                .filter(x -> isSelf(x) || !isSkipped(x))
-                .findFirst()
+        Member m = aggregators
+                .aggregator(tokenShard)
+                .flatMap(board.members()::find)
                 .orElse(null);
         logAggregatorChange(tokenShard, m);
         // At most one transfer to a host is in flight, so that the tokens in transit from this host stay below the
         // number that an issuer may store.
-        if (m == null || isSelf(m) || !transfersInFlight.add(m.host())) {
+        if (m == null || isSelf(m) || transfersInFlight.contains(m.host())) {
             return;
         }
         Set<TeamService> due = new HashSet<>(keys);
@@ -193,17 +226,23 @@
             due.retainAll(needed);
         }
         GiveRequest.Builder request =
-                GiveRequest.newBuilder().setFrom(board.settings().host());
+                GiveRequest.newBuilder().setFrom(board.settings().host()).setTokenShard(tokenShard);
         buckets.takeForTransfer(due)
                 .forEach((k, n) -> request.addGifts(TokenGift.newBuilder()
                         .setTeam(k.team())
                         .setAllowance(k.service())
                         .setTokens(n)));
+        long now = board.clock().nanoTime();
+        if (request.getGiftsCount() == 0 && !isNeedCheckDue(m, keys, now)) {
+            return;
+        }
+        lastTransfers.put(m.host(), now);
+        transfersInFlight.add(m.host());
         peers.<GiveReply>call(m, CALL_TIMEOUT.multipliedBy(2), (stub, o) -> stub.give(request.build(), o))
                 .whenComplete((r, e) -> {
                     transfersInFlight.remove(m.host());
                     if (e != null) {
-                        skip(m, e);
+                        skipOnError(m, e);
                         neededAllowances.remove(m.host());
                         return;
                     }
@@ -213,6 +252,12 @@
                 });
     }
 
+    // A host that issues no tokens of the shard has no use for the needs of its aggregator.
+    private boolean isNeedCheckDue(Member aggregator, Set<TeamService> keys, long now) {
+        Long last = lastTransfers.get(aggregator.host());
+        return (last == null || now - last >= NEED_CHECK_PERIOD.toNanos()) && buckets.issuesAny(keys);
+    }
+
     private void logAggregatorChange(int tokenShard, Member m) {
         String now = m == null ? "" : m.host();
         if (!now.equals(loggedAggregators.get(tokenShard))) {
@@ -223,22 +268,16 @@
         }
     }
 
-    private void skip(Member m, Throwable e) {
-        Long before = skippedUntil.put(m.host(), board.clock().nanoTime() + SKIP_DURATION.toNanos());
-        if (before == null || board.clock().nanoTime() - before > 0) {
+    private void skipOnError(Member m, Throwable e) {
+        if (e != null && aggregators.skip(m.host())) {
             Logger.warn(
                     "token aggregator {} does not answer and is skipped for {}: {}",
                     m.host(),
-                    SKIP_DURATION,
+                    TokenAggregators.SKIP_DURATION,
                     e.getMessage());
         }
     }
 
-    private boolean isSkipped(Member m) {
-        Long until = skippedUntil.get(m.host());
-        return until != null && board.clock().nanoTime() - until < 0;
-    }
-
     private boolean isSelf(Member m) {
         return m.host().equals(board.settings().host());
     }
--- a/daemon/src/main/java/io/fuchsiastand/daemon/owner/BackendController.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/owner/BackendController.java
@@ -1,6 +1,5 @@
 package io.fuchsiastand.daemon.owner;
 
-import java.time.Duration;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -27,9 +26,6 @@
  */
 public final class BackendController {
 
-    /** Time between two ticks. */
-    public static final Duration TICK_PERIOD = Duration.ofMillis(250);
-
     // Low bits of a record version that hold the sequence number; the bits above hold the start time of the daemon.
     private static final int SEQUENCE_BITS = 20;
     // Number of unregistered processes for which late announcements are still refused.
--- a/protocol/src/main/java/io/fuchsiastand/protocol/GiveRequest.java
+++ b/protocol/src/main/java/io/fuchsiastand/protocol/GiveRequest.java
@@ -121,6 +121,21 @@
     return gifts_.get(index);
   }
 
+  public static final int TOKEN_SHARD_FIELD_NUMBER = 4;
+  private int tokenShard_ = 0;
+  /**
+   * <pre>
+   * The token shard of the allowances.
+   * </pre>
+   *
+   * <code>int32 token_shard = 4;</code>
+   * @return The tokenShard.
+   */
+  @java.lang.Override
+  public int getTokenShard() {
+    return tokenShard_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -141,6 +156,9 @@
     for (int i = 0; i < gifts_.size(); i++) {
       output.writeMessage(2, gifts_.get(i));
     }
+    if (tokenShard_ != 0) {
+      output.writeInt32(4, tokenShard_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -157,6 +175,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(2, gifts_.get(i));
     }
+    if (tokenShard_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt32Size(4, tokenShard_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -176,6 +198,8 @@
         .equals(other.getFrom())) return false;
     if (!getGiftsList()
         .equals(other.getGiftsList())) return false;
+    if (getTokenShard()
+        != other.getTokenShard()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -193,6 +217,8 @@
       hash = (37 * hash) + GIFTS_FIELD_NUMBER;
       hash = (53 * hash) + getGiftsList().hashCode();
     }
+    hash = (37 * hash) + TOKEN_SHARD_FIELD_NUMBER;
+    hash = (53 * hash) + getTokenShard();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -332,6 +358,7 @@
         giftsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000002);
+      tokenShard_ = 0;
       return this;
     }
 
@@ -381,6 +408,9 @@
       if (((from_bitField0_ & 0x00000001) != 0)) {
         result.from_ = from_;
       }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.tokenShard_ = tokenShard_;
+      }
     }
 
     @java.lang.Override
@@ -458,6 +488,9 @@
           }
         }
       }
+      if (other.getTokenShard() != 0) {
+        setTokenShard(other.getTokenShard());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -502,6 +535,11 @@
               }
               break;
             } // case 18
+            case 32: {
+              tokenShard_ = input.readInt32();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 32
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -830,6 +868,50 @@
       }
       return giftsBuilder_;
     }
+
+    private int tokenShard_ ;
+    /**
+     * <pre>
+     * The token shard of the allowances.
+     * </pre>
+     *
+     * <code>int32 token_shard = 4;</code>
+     * @return The tokenShard.
+     */
+    @java.lang.Override
+    public int getTokenShard() {
+      return tokenShard_;
+    }
+    /**
+     * <pre>
+     * The token shard of the allowances.
+     * </pre>
+     *
+     * <code>int32 token_shard = 4;</code>
+     * @param value The tokenShard to set.
+     * @return This builder for chaining.
+     */
+    public Builder setTokenShard(int value) {
+
+      tokenShard_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The token shard of the allowances.
+     * </pre>
+     *
+     * <code>int32 token_shard = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearTokenShard() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      tokenShard_ = 0;
+      onChanged();
+      return this;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/protocol/src/main/java/io/fuchsiastand/protocol/GiveRequestOrBuilder.java
+++ b/protocol/src/main/java/io/fuchsiastand/protocol/GiveRequestOrBuilder.java
@@ -43,4 +43,14 @@
    */
   io.fuchsiastand.protocol.TokenGiftOrBuilder getGiftsOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * The token shard of the allowances.
+   * </pre>
+   *
+   * <code>int32 token_shard = 4;</code>
+   * @return The tokenShard.
+   */
+  int getTokenShard();
 }
