Let calls wait for a token for a short time instead of refusing them

Callers saw: 429 inside their rate and burst when they sent a part of the burst at once, as clients do that poll together. Their clients do not repeat, so the call was lost. Change: a call that finds no token reserves one of the next ones if its turn comes within half of the target latency of its route, and at most a quarter of its time, and asks again then. What the tokens of that time don't cover is refused at once, as before. A reservation grants nothing, so the invariant of the buckets does not change; the property test draws reservations too. Ruled out: larger pools. Pools, transfers and issuers use 0.9 of what the rule allows to be unused. Evidence: DistributedTokenBucketsTest.reservesTokensForABurstThatTheNextTokensCover and three more tests of waits.

--- a/core/src/main/java/io/fuchsiastand/limit/DistributedTokenBuckets.java
+++ b/core/src/main/java/io/fuchsiastand/limit/DistributedTokenBuckets.java
@@ -1,5 +1,8 @@
 package io.fuchsiastand.limit;
 
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
@@ -20,6 +23,10 @@
  * When daemons disagree about the aggregator, lose messages, freeze or are killed, tokens can only be lost. A decision
  * about a request needs no lease, no clock shared with other daemons and no store.
  *
+ * <p>A request that finds no token may reserve one of the next tokens, if its turn comes soon enough, and comes back for it
+ * later. A reservation only keeps other requests from taking the token; it grants none, so it does not affect how many
+ * requests run.
+ *
  * <p>Thread-safe.
  */
 public final class DistributedTokenBuckets {
@@ -29,6 +36,10 @@
     // An aggregator requests more tokens while its pool is below this share of its limit.
     private static final double REFILL_SHARE = 0.7;
     private static final long MAX_RETRY_MILLIS = 2_000;
+    // Tokens arrive in transfers, so a request that came back in time may have to wait once more.
+    private static final long MIN_WAIT_MILLIS = 20;
+    // A reservation ends this long after its time if its request does not come back.
+    private static final Duration RESERVATION_GRACE = Duration.ofMillis(500);
 
     private final UnusedTokenLimits limits;
     private final Clock clock;
@@ -47,6 +58,8 @@
         private double recentRefusals;
         private long refusedAt;
         private double share;
+        // Monotonic times at which the reservations end, in the order in which they were made.
+        private final Deque<Long> reservations = new ArrayDeque<>();
     }
 
     /**
@@ -54,8 +67,16 @@
      *
      * @param granted whether a token was taken
      * @param retryAfterMillis time after which a token is expected to be available, if none was taken
+     * @param reserved whether a token is reserved for the request, which should come back after that time
      */
-    public record Decision(boolean granted, long retryAfterMillis) {}
+    public record Decision(boolean granted, long retryAfterMillis, boolean reserved) {
+
+        private static final Decision GRANTED = new Decision(true, 0, false);
+
+        private static Decision refused(long retryAfterMillis) {
+            return new Decision(false, retryAfterMillis, false);
+        }
+    }
 
     /**
      * Creates the buckets of a daemon. It issues no tokens until {@link #setIssueShares} is called.
@@ -129,29 +150,59 @@
     }
 
     /**
-     * Takes a token for a request, if one is available.
+     * Takes a token for a request that cannot wait, if one is available.
      *
      * @param key the team and service of the allowance
      * @return the decision
      */
-    public synchronized Decision take(TeamService key) {
+    public Decision take(TeamService key) {
+        return take(key, Duration.ZERO, false);
+    }
+
+    /**
+     * Takes a token for a request, if one is available that is not reserved, or reserves one.
+     *
+     * @param key the team and service of the allowance
+     * @param maxWait how long the request can wait; a token is reserved only if one is expected within that time
+     * @param waited whether the request comes back after a reservation, which this call ends
+     * @return the decision
+     */
+    public synchronized Decision take(TeamService key, Duration maxWait, boolean waited) {
         Allowance allowance = allowances.apply(key).orElse(null);
         if (allowance == null) {
-            return new Decision(false, MAX_RETRY_MILLIS);
+            return Decision.refused(MAX_RETRY_MILLIS);
         }
         AllowanceState s = stateOf(key);
         issue(key, s);
         s.pool = Math.min(limits.maxAtAggregator(allowance), s.pool);
-        if (s.pool >= 1) {
-            s.pool -= 1;
-            return new Decision(true, 0);
+        long now = clock.nanoTime();
+        while (!s.reservations.isEmpty() && now - s.reservations.peek() >= 0) {
+            s.reservations.poll();
         }
-        if (s.pool + s.issued >= 1) {
-            s.issued -= 1 - s.pool;
-            s.pool = 0;
-            return new Decision(true, 0);
+        if (waited) {
+            s.reservations.poll();
+        }
+        double available = s.pool + s.issued;
+        int before = waited ? 0 : s.reservations.size();
+        if (available >= 1 + before) {
+            s.issued -= Math.max(0, 1 - s.pool);
+            s.pool = Math.max(0, s.pool - 1);
+            return Decision.GRANTED;
+        }
+        if (allowance.rate() > 0) {
+            double waitMillis = Math.max(MIN_WAIT_MILLIS, 1000 * (1 + before - available) / allowance.rate());
+            if (waitMillis <= maxWait.toMillis()) {
+                long wait = (long) Math.ceil(waitMillis);
+                long end = now + Duration.ofMillis(wait).plus(RESERVATION_GRACE).toNanos();
+                if (waited) {
+                    s.reservations.addFirst(end);
+                } else {
+                    s.reservations.addLast(end);
+                }
+                return new Decision(false, wait, true);
+            }
         }
-        return new Decision(false, retryAfterMillis(s, allowance));
+        return Decision.refused(retryAfterMillis(s, allowance));
     }
 
     /**
--- a/core/src/test/java/io/fuchsiastand/limit/DistributedTokenBucketsTest.java
+++ b/core/src/test/java/io/fuchsiastand/limit/DistributedTokenBucketsTest.java
@@ -28,6 +28,7 @@
     // The requests that the fleet's rule allows in a window: (rate x window + burst) x (1 + overshoot) + slack.
     private static final double MAX_REQUESTS = (20 * 5 + 20) * 1.1 + 20;
     private static final int HOSTS = 8;
+    private static final Duration MAX_WAIT = Duration.ofMillis(600);
 
     private final ManualClock clock = new ManualClock();
 
@@ -59,6 +60,72 @@
         assertThat(second.retryAfterMillis()).isGreaterThan(first.retryAfterMillis());
     }
 
+    // The load: a team sends half of its burst at once, as clients do that poll at the same moment.
+    @Test
+    void reservesTokensForABurstThatTheNextTokensCover() {
+        List<DistributedTokenBuckets> fleet = fleet();
+        for (int step = 0; step < 40; step++) {
+            clock.advance(Duration.ofMillis(250));
+            transferToAggregator(fleet, 0);
+        }
+        DistributedTokenBuckets aggregator = fleet.get(0);
+        List<Duration> waits = new ArrayList<>();
+        int granted = 0;
+        for (int i = 0; i < 30; i++) {
+            DistributedTokenBuckets.Decision d = aggregator.take(KEY, MAX_WAIT, false);
+            granted += d.granted() ? 1 : 0;
+            if (d.reserved()) {
+                waits.add(Duration.ofMillis(d.retryAfterMillis()));
+            }
+        }
+
+        assertThat(granted).isAtLeast(10);
+        assertThat(waits.size()).isAtLeast(10);
+        assertThat(waits).isInOrder();
+        assertThat(waits.get(waits.size() - 1)).isAtMost(MAX_WAIT);
+        assertThat(granted + waits.size()).isLessThan(30);
+    }
+
+    @Test
+    void keepsAReservedTokenForTheRequestThatWaitedForIt() {
+        DistributedTokenBuckets alone = bucket();
+        alone.setIssueShares(team -> 1);
+        DistributedTokenBuckets.Decision first = alone.take(KEY, MAX_WAIT, false);
+        assertThat(first.reserved()).isTrue();
+        clock.advance(Duration.ofMillis(first.retryAfterMillis()));
+
+        assertThat(alone.take(KEY).granted()).isFalse();
+        assertThat(alone.take(KEY, MAX_WAIT, true).granted()).isTrue();
+    }
+
+    @Test
+    void endsAReservationWhoseRequestDoesNotComeBack() {
+        DistributedTokenBuckets alone = bucket();
+        alone.setIssueShares(team -> 1);
+        assertThat(alone.take(KEY, MAX_WAIT, false).reserved()).isTrue();
+        clock.advance(Duration.ofSeconds(2));
+
+        int granted = 0;
+        while (alone.take(KEY).granted()) {
+            granted++;
+        }
+        assertThat(granted).isAtLeast(8);
+    }
+
+    // The load: one team sends seven times its rate for a long time. What it can't get is refused at once.
+    @Test
+    void refusesAtOnceWhatTheTokensWithinTheWaitDoNotCover() {
+        DistributedTokenBuckets alone = bucket();
+        alone.setIssueShares(team -> 1);
+        int reserved = 0;
+        for (int i = 0; i < 100; i++) {
+            reserved += alone.take(KEY, MAX_WAIT, false).reserved() ? 1 : 0;
+        }
+
+        assertThat(reserved).isEqualTo((int) (ALLOWANCE.rate() * MAX_WAIT.toMillis() / 1000));
+        assertThat(alone.take(KEY, MAX_WAIT, false).retryAfterMillis()).isGreaterThan(0L);
+    }
+
     @Test
     void issuesNoTokensWithoutAShare() {
         DistributedTokenBuckets b = bucket();
@@ -117,7 +184,10 @@
             });
             for (int i = 0; i < 30; i++) {
                 // A request can reach any host. Hosts other than the two aggregators have at most 1.3 tokens.
-                if (fleet.get(random.nextInt(HOSTS)).take(KEY).granted()) {
+                Duration maxWait = random.nextBoolean() ? MAX_WAIT : Duration.ZERO;
+                if (fleet.get(random.nextInt(HOSTS))
+                        .take(KEY, maxWait, random.nextBoolean())
+                        .granted()) {
                     granted.add(clock.nanoTime());
                 }
             }
--- a/daemon/src/main/java/io/fuchsiastand/daemon/Daemon.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/Daemon.java
@@ -115,7 +115,7 @@
         limits = new LimitController(board, peers);
         LimitClient limitClient = new LimitClient(board, peers, limits);
         idempotency = new IdempotencyController(board, peers, limits);
-        tokens = new TokenController(board, peers);
+        tokens = new TokenController(board, peers, transport.timer());
         store = deployment.store().apply(settings);
         tokenIssuers = new TokenIssuersController(board, store, tokens::setIssueShares);
         configurationWatch = deployment.configuration().map(c -> new ConfigurationWatch(board, c.apply(settings)));
--- a/daemon/src/main/java/io/fuchsiastand/daemon/edge/CallerService.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/edge/CallerService.java
@@ -59,6 +59,9 @@
             EnumSet.of(ErrorCode.BAD_REQUEST, ErrorCode.BAD_PATH, ErrorCode.BODY_TOO_LARGE, ErrorCode.FIELDS_TOO_LARGE);
     private static final long MAX_DEADLINE_MILLIS = Duration.ofMinutes(10).toMillis();
 
+    // A call waits for a token at most this part of the time until its deadline.
+    private static final int MAX_TOKEN_WAIT_DIVISOR = 4;
+
     private final Blackboard board;
     private final RateLimiter rateLimiter;
     private final Function<RoutedRequest, Single<StreamingHttpResponse>> dispatcher;
@@ -194,18 +197,33 @@
         }
         String name = allowances.get(next);
         Allowance allowance = c.allowance(x.team(), name).orElseThrow();
-        return rateLimiter.acquire(x.team(), name, x.deadline()).flatMap(g -> {
-            if (g.isGranted()) {
-                return acquire(c, x, allowances, next + 1);
-            }
-            return failed(
-                    g.result() == AcquireResult.OVER_RATE
-                            ? RateLimitHeaders.createRefusal(name, allowance, g)
-                            : RefusalException.notRun(
-                                    ErrorCode.LIMIT_UNAVAILABLE,
-                                    ErrorCode.LIMIT_UNAVAILABLE.title(),
-                                    RETRY_AFTER_MILLIS));
-        });
+        return rateLimiter
+                .acquire(x.team(), name, x.deadline(), maxTokenWait(x))
+                .flatMap(g -> {
+                    if (g.isGranted()) {
+                        return acquire(c, x, allowances, next + 1);
+                    }
+                    return failed(
+                            g.result() == AcquireResult.OVER_RATE
+                                    ? RateLimitHeaders.createRefusal(name, allowance, g)
+                                    : RefusalException.notRun(
+                                            ErrorCode.LIMIT_UNAVAILABLE,
+                                            ErrorCode.LIMIT_UNAVAILABLE.title(),
+                                            RETRY_AFTER_MILLIS));
+                });
+    }
+
+    // A call that waits for a token still has time to run within the target latency of its route.
+    private Duration maxTokenWait(RoutedRequest x) {
+        Duration left =
+                Duration.ofNanos(Math.max(0, x.deadline() - board.clock().nanoTime()));
+        Duration longest = left.dividedBy(MAX_TOKEN_WAIT_DIVISOR);
+        Duration target = x.match().route().policy().target();
+        if (target.isZero()) {
+            return longest;
+        }
+        Duration half = target.dividedBy(2);
+        return half.compareTo(longest) < 0 ? half : longest;
     }
 
     private RoutedRequest createRoutedRequest(StreamingHttpRequest request, RouteMatch match) {
--- a/daemon/src/main/java/io/fuchsiastand/daemon/limit/LimitClient.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/limit/LimitClient.java
@@ -63,10 +63,11 @@
      * @param team the name of the team
      * @param allowance the name of the allowance, which applies to one service or to all services together
      * @param deadline monotonic time by which the request must be done, in nanoseconds
+     * @param maxTokenWait not used: a request over its rate is refused at once
      * @return the decision; {@link AcquireResult#NO_RIGHT} if no daemon could decide in time
      */
     @Override
-    public Single<Grant> acquire(String team, String allowance, long deadline) {
+    public Single<Grant> acquire(String team, String allowance, long deadline, Duration maxTokenWait) {
         long maxWait =
                 board.settings().leaseTerms().lendingTerm().multipliedBy(2).toNanos();
         long end = Math.min(board.clock().nanoTime() + maxWait, deadline - RETRY_DELAY.toNanos());
--- a/daemon/src/main/java/io/fuchsiastand/daemon/limit/RateLimiter.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/limit/RateLimiter.java
@@ -1,5 +1,7 @@
 package io.fuchsiastand.daemon.limit;
 
+import java.time.Duration;
+
 import io.fuchsiastand.limit.Grant;
 import io.servicetalk.concurrent.api.Single;
 
@@ -8,12 +10,13 @@
 public interface RateLimiter {
 
     /**
-     * Takes a token for one call, if the rate limit allows it.
+     * Takes a token for one call, if the rate limit allows it now or within the time that the call can wait.
      *
      * @param team the name of the team
      * @param allowance the name of the allowance, which applies to one service or to all services together
      * @param deadline monotonic time by which the call must be done, in nanoseconds
+     * @param maxWait how long the call can wait for a token
      * @return the decision
      */
-    Single<Grant> acquire(String team, String allowance, long deadline);
+    Single<Grant> acquire(String team, String allowance, long deadline, Duration maxWait);
 }
--- a/daemon/src/main/java/io/fuchsiastand/daemon/limit/TokenController.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/limit/TokenController.java
@@ -31,6 +31,7 @@
 import io.fuchsiastand.protocol.TakeReply;
 import io.fuchsiastand.protocol.TakeRequest;
 import io.fuchsiastand.protocol.TokenGift;
+import io.servicetalk.concurrent.api.Executor;
 import io.servicetalk.concurrent.api.Single;
 import org.tinylog.Logger;
 
@@ -58,6 +59,7 @@
 
     private final Blackboard board;
     private final Peers peers;
+    private final Executor timer;
     private final DistributedTokenBuckets buckets;
     // Aggregators to which a transfer from this daemon is in flight.
     private final Set<String> transfersInFlight = ConcurrentHashMap.newKeySet();
@@ -76,8 +78,10 @@
      *
      * @param board the blackboard
      * @param peers connections to other daemons
+     * @param timer runs the waits for tokens
      */
-    public TokenController(Blackboard board, Peers peers) {
+    public TokenController(Blackboard board, Peers peers, Executor timer) {
+        this.timer = timer;
         this.board = board;
         this.peers = peers;
         aggregators = new TokenAggregators(board.settings().host(), board.clock());
@@ -170,22 +174,43 @@
     }
 
     private TakeReply takeHere(TakeRequest request) {
-        DistributedTokenBuckets.Decision d = buckets.take(new TeamService(request.getTeam(), request.getAllowance()));
+        TeamService key = new TeamService(request.getTeam(), request.getAllowance());
+        DistributedTokenBuckets.Decision d =
+                buckets.take(key, Duration.ofMillis(request.getMaxWaitMillis()), request.getWaited());
         return TakeReply.newBuilder()
                 .setGranted(d.granted())
                 .setRetryAfterMillis(d.retryAfterMillis())
+                .setReserved(d.reserved())
                 .build();
     }
 
     @Override
-    public Single<Grant> acquire(String team, String allowance, long deadline) {
+    public Single<Grant> acquire(String team, String allowance, long deadline, Duration maxWait) {
         TakeRequest request = TakeRequest.newBuilder()
                 .setFrom(board.settings().host())
                 .setTeam(team)
                 .setAllowance(allowance)
+                .setMaxWaitMillis(maxWait.toMillis())
                 .build();
-        return take(request, 0).map(reply -> reply.map(r -> grant(r.getGranted(), r.getRetryAfterMillis()))
-                .orElse(Grant.NO_RIGHT));
+        return acquire(request);
+    }
+
+    // Asks again after the wait if a token is reserved.
+    private Single<Grant> acquire(TakeRequest request) {
+        return take(request, 0).flatMap(reply -> {
+            if (reply.isEmpty()) {
+                return succeeded(Grant.NO_RIGHT);
+            }
+            TakeReply r = reply.get();
+            if (!r.getReserved()) {
+                return succeeded(grant(r.getGranted(), r.getRetryAfterMillis()));
+            }
+            TakeRequest again = request.toBuilder()
+                    .setMaxWaitMillis(Math.max(0, request.getMaxWaitMillis() - r.getRetryAfterMillis()))
+                    .setWaited(true)
+                    .build();
+            return timer.timer(Duration.ofMillis(r.getRetryAfterMillis())).concat(defer(() -> acquire(again)));
+        });
     }
 
     // Returns an empty result if no candidate answered.
--- a/protocol/src/main/java/io/fuchsiastand/protocol/TakeReply.java
+++ b/protocol/src/main/java/io/fuchsiastand/protocol/TakeReply.java
@@ -53,6 +53,10 @@
   public static final int RETRY_AFTER_MILLIS_FIELD_NUMBER = 2;
   private long retryAfterMillis_ = 0L;
   /**
+   * <pre>
+   * If no token was granted: the time until one is expected.
+   * </pre>
+   *
    * <code>int64 retry_after_millis = 2;</code>
    * @return The retryAfterMillis.
    */
@@ -61,6 +65,21 @@
     return retryAfterMillis_;
   }
 
+  public static final int RESERVED_FIELD_NUMBER = 3;
+  private boolean reserved_ = false;
+  /**
+   * <pre>
+   * Whether a token is reserved for the request, which should come back after that time.
+   * </pre>
+   *
+   * <code>bool reserved = 3;</code>
+   * @return The reserved.
+   */
+  @java.lang.Override
+  public boolean getReserved() {
+    return reserved_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -81,6 +100,9 @@
     if (retryAfterMillis_ != 0L) {
       output.writeInt64(2, retryAfterMillis_);
     }
+    if (reserved_ != false) {
+      output.writeBool(3, reserved_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -98,6 +120,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(2, retryAfterMillis_);
     }
+    if (reserved_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(3, reserved_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -117,6 +143,8 @@
         != other.getGranted()) return false;
     if (getRetryAfterMillis()
         != other.getRetryAfterMillis()) return false;
+    if (getReserved()
+        != other.getReserved()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -134,6 +162,9 @@
     hash = (37 * hash) + RETRY_AFTER_MILLIS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getRetryAfterMillis());
+    hash = (37 * hash) + RESERVED_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getReserved());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -267,6 +298,7 @@
       bitField0_ = 0;
       granted_ = false;
       retryAfterMillis_ = 0L;
+      reserved_ = false;
       return this;
     }
 
@@ -306,6 +338,9 @@
       if (((from_bitField0_ & 0x00000002) != 0)) {
         result.retryAfterMillis_ = retryAfterMillis_;
       }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.reserved_ = reserved_;
+      }
     }
 
     @java.lang.Override
@@ -358,6 +393,9 @@
       if (other.getRetryAfterMillis() != 0L) {
         setRetryAfterMillis(other.getRetryAfterMillis());
       }
+      if (other.getReserved() != false) {
+        setReserved(other.getReserved());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -394,6 +432,11 @@
               bitField0_ |= 0x00000002;
               break;
             } // case 16
+            case 24: {
+              reserved_ = input.readBool();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 24
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -445,6 +488,10 @@
 
     private long retryAfterMillis_ ;
     /**
+     * <pre>
+     * If no token was granted: the time until one is expected.
+     * </pre>
+     *
      * <code>int64 retry_after_millis = 2;</code>
      * @return The retryAfterMillis.
      */
@@ -453,6 +500,10 @@
       return retryAfterMillis_;
     }
     /**
+     * <pre>
+     * If no token was granted: the time until one is expected.
+     * </pre>
+     *
      * <code>int64 retry_after_millis = 2;</code>
      * @param value The retryAfterMillis to set.
      * @return This builder for chaining.
@@ -465,6 +516,10 @@
       return this;
     }
     /**
+     * <pre>
+     * If no token was granted: the time until one is expected.
+     * </pre>
+     *
      * <code>int64 retry_after_millis = 2;</code>
      * @return This builder for chaining.
      */
@@ -474,6 +529,50 @@
       onChanged();
       return this;
     }
+
+    private boolean reserved_ ;
+    /**
+     * <pre>
+     * Whether a token is reserved for the request, which should come back after that time.
+     * </pre>
+     *
+     * <code>bool reserved = 3;</code>
+     * @return The reserved.
+     */
+    @java.lang.Override
+    public boolean getReserved() {
+      return reserved_;
+    }
+    /**
+     * <pre>
+     * Whether a token is reserved for the request, which should come back after that time.
+     * </pre>
+     *
+     * <code>bool reserved = 3;</code>
+     * @param value The reserved to set.
+     * @return This builder for chaining.
+     */
+    public Builder setReserved(boolean value) {
+
+      reserved_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether a token is reserved for the request, which should come back after that time.
+     * </pre>
+     *
+     * <code>bool reserved = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearReserved() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      reserved_ = false;
+      onChanged();
+      return this;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/protocol/src/main/java/io/fuchsiastand/protocol/TakeReplyOrBuilder.java
+++ b/protocol/src/main/java/io/fuchsiastand/protocol/TakeReplyOrBuilder.java
@@ -15,8 +15,22 @@
   boolean getGranted();
 
   /**
+   * <pre>
+   * If no token was granted: the time until one is expected.
+   * </pre>
+   *
    * <code>int64 retry_after_millis = 2;</code>
    * @return The retryAfterMillis.
    */
   long getRetryAfterMillis();
+
+  /**
+   * <pre>
+   * Whether a token is reserved for the request, which should come back after that time.
+   * </pre>
+   *
+   * <code>bool reserved = 3;</code>
+   * @return The reserved.
+   */
+  boolean getReserved();
 }
--- a/protocol/src/main/java/io/fuchsiastand/protocol/TakeRequest.java
+++ b/protocol/src/main/java/io/fuchsiastand/protocol/TakeRequest.java
@@ -159,6 +159,36 @@
     }
   }
 
+  public static final int MAX_WAIT_MILLIS_FIELD_NUMBER = 4;
+  private long maxWaitMillis_ = 0L;
+  /**
+   * <pre>
+   * How long the request can wait for a token; 0 if it cannot wait.
+   * </pre>
+   *
+   * <code>int64 max_wait_millis = 4;</code>
+   * @return The maxWaitMillis.
+   */
+  @java.lang.Override
+  public long getMaxWaitMillis() {
+    return maxWaitMillis_;
+  }
+
+  public static final int WAITED_FIELD_NUMBER = 5;
+  private boolean waited_ = false;
+  /**
+   * <pre>
+   * Whether the request comes back after it waited for the token that the aggregator reserved for it.
+   * </pre>
+   *
+   * <code>bool waited = 5;</code>
+   * @return The waited.
+   */
+  @java.lang.Override
+  public boolean getWaited() {
+    return waited_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -182,6 +212,12 @@
     if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(allowance_)) {
       com.google.protobuf.GeneratedMessageV3.writeString(output, 3, allowance_);
     }
+    if (maxWaitMillis_ != 0L) {
+      output.writeInt64(4, maxWaitMillis_);
+    }
+    if (waited_ != false) {
+      output.writeBool(5, waited_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -200,6 +236,14 @@
     if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(allowance_)) {
       size += com.google.protobuf.GeneratedMessageV3.computeStringSize(3, allowance_);
     }
+    if (maxWaitMillis_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(4, maxWaitMillis_);
+    }
+    if (waited_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(5, waited_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -221,6 +265,10 @@
         .equals(other.getTeam())) return false;
     if (!getAllowance()
         .equals(other.getAllowance())) return false;
+    if (getMaxWaitMillis()
+        != other.getMaxWaitMillis()) return false;
+    if (getWaited()
+        != other.getWaited()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -238,6 +286,12 @@
     hash = (53 * hash) + getTeam().hashCode();
     hash = (37 * hash) + ALLOWANCE_FIELD_NUMBER;
     hash = (53 * hash) + getAllowance().hashCode();
+    hash = (37 * hash) + MAX_WAIT_MILLIS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getMaxWaitMillis());
+    hash = (37 * hash) + WAITED_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getWaited());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -372,6 +426,8 @@
       from_ = "";
       team_ = "";
       allowance_ = "";
+      maxWaitMillis_ = 0L;
+      waited_ = false;
       return this;
     }
 
@@ -414,6 +470,12 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.allowance_ = allowance_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.maxWaitMillis_ = maxWaitMillis_;
+      }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.waited_ = waited_;
+      }
     }
 
     @java.lang.Override
@@ -475,6 +537,12 @@
         bitField0_ |= 0x00000004;
         onChanged();
       }
+      if (other.getMaxWaitMillis() != 0L) {
+        setMaxWaitMillis(other.getMaxWaitMillis());
+      }
+      if (other.getWaited() != false) {
+        setWaited(other.getWaited());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -516,6 +584,16 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 26
+            case 32: {
+              maxWaitMillis_ = input.readInt64();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
+            case 40: {
+              waited_ = input.readBool();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 40
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -748,6 +826,94 @@
       onChanged();
       return this;
     }
+
+    private long maxWaitMillis_ ;
+    /**
+     * <pre>
+     * How long the request can wait for a token; 0 if it cannot wait.
+     * </pre>
+     *
+     * <code>int64 max_wait_millis = 4;</code>
+     * @return The maxWaitMillis.
+     */
+    @java.lang.Override
+    public long getMaxWaitMillis() {
+      return maxWaitMillis_;
+    }
+    /**
+     * <pre>
+     * How long the request can wait for a token; 0 if it cannot wait.
+     * </pre>
+     *
+     * <code>int64 max_wait_millis = 4;</code>
+     * @param value The maxWaitMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setMaxWaitMillis(long value) {
+
+      maxWaitMillis_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * How long the request can wait for a token; 0 if it cannot wait.
+     * </pre>
+     *
+     * <code>int64 max_wait_millis = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearMaxWaitMillis() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      maxWaitMillis_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private boolean waited_ ;
+    /**
+     * <pre>
+     * Whether the request comes back after it waited for the token that the aggregator reserved for it.
+     * </pre>
+     *
+     * <code>bool waited = 5;</code>
+     * @return The waited.
+     */
+    @java.lang.Override
+    public boolean getWaited() {
+      return waited_;
+    }
+    /**
+     * <pre>
+     * Whether the request comes back after it waited for the token that the aggregator reserved for it.
+     * </pre>
+     *
+     * <code>bool waited = 5;</code>
+     * @param value The waited to set.
+     * @return This builder for chaining.
+     */
+    public Builder setWaited(boolean value) {
+
+      waited_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether the request comes back after it waited for the token that the aggregator reserved for it.
+     * </pre>
+     *
+     * <code>bool waited = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearWaited() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      waited_ = false;
+      onChanged();
+      return this;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/protocol/src/main/java/io/fuchsiastand/protocol/TakeRequestOrBuilder.java
+++ b/protocol/src/main/java/io/fuchsiastand/protocol/TakeRequestOrBuilder.java
@@ -43,4 +43,24 @@
    */
   com.google.protobuf.ByteString
       getAllowanceBytes();
+
+  /**
+   * <pre>
+   * How long the request can wait for a token; 0 if it cannot wait.
+   * </pre>
+   *
+   * <code>int64 max_wait_millis = 4;</code>
+   * @return The maxWaitMillis.
+   */
+  long getMaxWaitMillis();
+
+  /**
+   * <pre>
+   * Whether the request comes back after it waited for the token that the aggregator reserved for it.
+   * </pre>
+   *
+   * <code>bool waited = 5;</code>
+   * @return The waited.
+   */
+  boolean getWaited();
 }
