Relay token messages of daemons that cannot reach the aggregator

Cause: a daemon that cannot reach the aggregator asked the next candidate, and transferred its tokens there. So the tokens of a team were divided by which hosts can reach which: the next candidate had the tokens of the issuers that cannot reach the first one, or none if no issuer is among them, and refused the calls. Ruled out: too few tokens. Change: a daemon that receives a token message and takes another host for the aggregator passes the message on to it, once. Only if it cannot reach that host itself does it decide, as before. Tokens still move in messages that are sent once. Evidence: TokenAggregatorsTest.grantsTheRateAtHostsThatCannotReachTheAggregator failed without the relay.

--- a/core/src/main/java/io/fuchsiastand/limit/TokenAggregators.java
+++ b/core/src/main/java/io/fuchsiastand/limit/TokenAggregators.java
@@ -10,7 +10,9 @@
 
 /**
  * The aggregators of the token shards as one daemon sees them. Each token shard has a few candidates in an order on which
- * daemons agree; the first one that this daemon can reach is the aggregator.
+ * daemons agree; the first one that this daemon can reach is the aggregator. A daemon that cannot reach the first candidate
+ * sends its messages to the next one, which relays them to the first if it can reach it itself. So a failed path between two
+ * hosts does not divide the tokens of a team between two aggregators.
  *
  * <p>Thread-safe.
  */
@@ -59,6 +61,17 @@
         return Optional.empty();
     }
 
+    /**
+     * Returns the host to which this daemon relays a message that another daemon sent to it as the aggregator.
+     *
+     * @param tokenShard the number of the token shard
+     * @param relayed whether the message has been relayed already; it is relayed at most once
+     * @return the name of the host, or empty if this daemon handles the message itself
+     */
+    public Optional<String> relayTarget(int tokenShard, boolean relayed) {
+        return relayed ? Optional.empty() : aggregator(tokenShard).filter(h -> !h.equals(self));
+    }
+
     /**
      * Records that a candidate did not answer.
      *
--- a/core/src/test/java/io/fuchsiastand/limit/TokenAggregatorsTest.java
+++ b/core/src/test/java/io/fuchsiastand/limit/TokenAggregatorsTest.java
@@ -41,6 +41,41 @@
         }
     }
 
+    // The load: a team calls through all hosts at half of its rate while the paths between its aggregator and two other
+    // hosts fail. The two hosts must not be left without tokens.
+    @Test
+    void grantsTheRateAtHostsThatCannotReachTheAggregator() {
+        cutPaths.addAll(Set.of("6-0", "0-6", "7-0", "0-7"));
+        int refusedAtCutHosts = 0;
+        int sentAtCutHosts = 0;
+        for (int tick = 0; tick < 100; tick++) {
+            clock.advance(TICK);
+            for (int i = 0; i < HOSTS; i++) {
+                give(i);
+            }
+            // The first second fills the pool.
+            for (int i = tick < 5 ? HOSTS : 0; i < 4; i++) {
+                int host = (4 * tick + i) % HOSTS;
+                boolean granted = take(host);
+                if (host >= 6) {
+                    sentAtCutHosts++;
+                    refusedAtCutHosts += granted ? 0 : 1;
+                }
+            }
+        }
+
+        assertThat(sentAtCutHosts).isAtLeast(80);
+        assertThat(refusedAtCutHosts).isEqualTo(0);
+    }
+
+    @Test
+    void relaysAMessageAtMostOnce() {
+        TokenAggregators h2 = views.get(2);
+        assertThat(h2.relayTarget(0, false)).hasValue("h0");
+        assertThat(h2.relayTarget(0, true)).isEmpty();
+        assertThat(views.get(0).relayTarget(0, false)).isEmpty();
+    }
+
     @Test
     void returnsToTheFirstCandidateAfterAWhile() {
         TokenAggregators a = views.get(5);
@@ -51,4 +86,46 @@
 
         assertThat(a.aggregator(0)).hasValue("h0");
     }
+
+    private void give(int from) {
+        int to = index(views.get(from).aggregator(0));
+        if (to == from) {
+            return;
+        }
+        double tokens = fleet.get(from).takeForTransfer(Set.of(KEY)).getOrDefault(KEY, 0.0);
+        if (isCut(from, to)) {
+            views.get(from).skip("h" + to);
+            return;
+        }
+        int target = views.get(to)
+                .relayTarget(0, false)
+                .map(h -> index(Optional.of(h)))
+                .orElse(to);
+        if (!isCut(to, target)) {
+            fleet.get(target).receive(KEY, tokens);
+        }
+    }
+
+    private boolean take(int from) {
+        for (int tries = 0; tries < CANDIDATES.size(); tries++) {
+            int to = index(views.get(from).aggregator(0));
+            if (!isCut(from, to)) {
+                int target = views.get(to)
+                        .relayTarget(0, false)
+                        .map(h -> index(Optional.of(h)))
+                        .orElse(to);
+                return fleet.get(isCut(to, target) ? to : target).take(KEY).granted();
+            }
+            views.get(from).skip("h" + to);
+        }
+        return false;
+    }
+
+    private boolean isCut(int from, int to) {
+        return cutPaths.contains(from + "-" + to);
+    }
+
+    private static int index(Optional<String> host) {
+        return Integer.parseInt(host.orElseThrow().substring(1));
+    }
 }
--- a/daemon/src/main/java/io/fuchsiastand/daemon/limit/TokenController.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/limit/TokenController.java
@@ -52,6 +52,8 @@
     private static final Duration CALL_TIMEOUT = Duration.ofMillis(250);
     // Time after which an issuer asks an aggregator that needed no tokens again.
     private static final Duration NEED_CHECK_PERIOD = Duration.ofMillis(400);
+    // Shorter than the time that the sender of a relayed message waits.
+    private static final Duration RELAY_TIMEOUT = Duration.ofMillis(150);
     private static final int MAX_CANDIDATES_PER_TOKEN_SHARD = 3;
     // There is one token shard per this many hosts, so that each host of a small fleet sends one transfer, not one per
     // team.
@@ -146,12 +148,18 @@
     }
 
     /**
-     * Adds the tokens that another daemon transfers to this one.
+     * Adds the tokens that another daemon transfers to this one, or relays them to the aggregator.
      *
      * @param request the tokens by allowance, all of one token shard
      * @return the allowances for which the aggregator needs more tokens
      */
     public CompletionStage<GiveReply> onGive(GiveRequest request) {
+        Optional<Member> target = relayTarget(request.getTokenShard(), request.getRelayed());
+        if (target.isPresent()) {
+            GiveRequest relayed = request.toBuilder().setRelayed(true).build();
+            return peers.<GiveReply>call(target.get(), CALL_TIMEOUT, (stub, o) -> stub.give(relayed, o))
+                    .whenComplete((r, e) -> skipOnError(target.get(), e));
+        }
         for (TokenGift g : request.getGiftsList()) {
             buckets.receive(new TeamService(g.getTeam(), g.getAllowance()), g.getTokens());
         }
@@ -164,13 +172,24 @@
     }
 
     /**
-     * Takes a token for a request that another daemon has received.
+     * Takes a token for a request that another daemon has received, from this daemon or, by a relayed message, from the
+     * aggregator.
      *
      * @param request the team and the name of the allowance
      * @return the decision
      */
     public CompletionStage<TakeReply> onTake(TakeRequest request) {
-        return CompletableFuture.completedFuture(takeHere(request));
+        TeamService key = new TeamService(request.getTeam(), request.getAllowance());
+        Optional<Member> target = relayTarget(tokenShardOf(key, tokenShardCount()), request.getRelayed());
+        if (target.isEmpty()) {
+            return CompletableFuture.completedFuture(takeHere(request));
+        }
+        TakeRequest relayed = request.toBuilder().setRelayed(true).build();
+        return peers.<TakeReply>call(target.get(), RELAY_TIMEOUT, (stub, o) -> stub.take(relayed, o))
+                .handle((r, e) -> {
+                    skipOnError(target.get(), e);
+                    return e == null ? r : takeHere(request);
+                });
     }
 
     private TakeReply takeHere(TakeRequest request) {
@@ -184,6 +203,10 @@
                 .build();
     }
 
+    private Optional<Member> relayTarget(int tokenShard, boolean relayed) {
+        return aggregators.relayTarget(tokenShard, relayed).flatMap(board.members()::find);
+    }
+
     @Override
     public Single<Grant> acquire(String team, String allowance, long deadline, Duration maxWait) {
         TakeRequest request = TakeRequest.newBuilder()
--- a/protocol/src/main/java/io/fuchsiastand/protocol/GiveRequest.java
+++ b/protocol/src/main/java/io/fuchsiastand/protocol/GiveRequest.java
@@ -121,6 +121,21 @@
     return gifts_.get(index);
   }
 
+  public static final int RELAYED_FIELD_NUMBER = 3;
+  private boolean relayed_ = false;
+  /**
+   * <pre>
+   * Whether another daemon has passed the message on, because the sender cannot reach the aggregator.
+   * </pre>
+   *
+   * <code>bool relayed = 3;</code>
+   * @return The relayed.
+   */
+  @java.lang.Override
+  public boolean getRelayed() {
+    return relayed_;
+  }
+
   public static final int TOKEN_SHARD_FIELD_NUMBER = 4;
   private int tokenShard_ = 0;
   /**
@@ -156,6 +171,9 @@
     for (int i = 0; i < gifts_.size(); i++) {
       output.writeMessage(2, gifts_.get(i));
     }
+    if (relayed_ != false) {
+      output.writeBool(3, relayed_);
+    }
     if (tokenShard_ != 0) {
       output.writeInt32(4, tokenShard_);
     }
@@ -175,6 +193,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(2, gifts_.get(i));
     }
+    if (relayed_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(3, relayed_);
+    }
     if (tokenShard_ != 0) {
       size += com.google.protobuf.CodedOutputStream
         .computeInt32Size(4, tokenShard_);
@@ -198,6 +220,8 @@
         .equals(other.getFrom())) return false;
     if (!getGiftsList()
         .equals(other.getGiftsList())) return false;
+    if (getRelayed()
+        != other.getRelayed()) return false;
     if (getTokenShard()
         != other.getTokenShard()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
@@ -217,6 +241,9 @@
       hash = (37 * hash) + GIFTS_FIELD_NUMBER;
       hash = (53 * hash) + getGiftsList().hashCode();
     }
+    hash = (37 * hash) + RELAYED_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getRelayed());
     hash = (37 * hash) + TOKEN_SHARD_FIELD_NUMBER;
     hash = (53 * hash) + getTokenShard();
     hash = (29 * hash) + getUnknownFields().hashCode();
@@ -358,6 +385,7 @@
         giftsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000002);
+      relayed_ = false;
       tokenShard_ = 0;
       return this;
     }
@@ -409,6 +437,9 @@
         result.from_ = from_;
       }
       if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.relayed_ = relayed_;
+      }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
         result.tokenShard_ = tokenShard_;
       }
     }
@@ -488,6 +519,9 @@
           }
         }
       }
+      if (other.getRelayed() != false) {
+        setRelayed(other.getRelayed());
+      }
       if (other.getTokenShard() != 0) {
         setTokenShard(other.getTokenShard());
       }
@@ -535,9 +569,14 @@
               }
               break;
             } // case 18
+            case 24: {
+              relayed_ = input.readBool();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 24
             case 32: {
               tokenShard_ = input.readInt32();
-              bitField0_ |= 0x00000004;
+              bitField0_ |= 0x00000008;
               break;
             } // case 32
             default: {
@@ -869,6 +908,50 @@
       return giftsBuilder_;
     }
 
+    private boolean relayed_ ;
+    /**
+     * <pre>
+     * Whether another daemon has passed the message on, because the sender cannot reach the aggregator.
+     * </pre>
+     *
+     * <code>bool relayed = 3;</code>
+     * @return The relayed.
+     */
+    @java.lang.Override
+    public boolean getRelayed() {
+      return relayed_;
+    }
+    /**
+     * <pre>
+     * Whether another daemon has passed the message on, because the sender cannot reach the aggregator.
+     * </pre>
+     *
+     * <code>bool relayed = 3;</code>
+     * @param value The relayed to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRelayed(boolean value) {
+
+      relayed_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether another daemon has passed the message on, because the sender cannot reach the aggregator.
+     * </pre>
+     *
+     * <code>bool relayed = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRelayed() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      relayed_ = false;
+      onChanged();
+      return this;
+    }
+
     private int tokenShard_ ;
     /**
      * <pre>
@@ -894,7 +977,7 @@
     public Builder setTokenShard(int value) {
 
       tokenShard_ = value;
-      bitField0_ |= 0x00000004;
+      bitField0_ |= 0x00000008;
       onChanged();
       return this;
     }
@@ -907,7 +990,7 @@
      * @return This builder for chaining.
      */
     public Builder clearTokenShard() {
-      bitField0_ = (bitField0_ & ~0x00000004);
+      bitField0_ = (bitField0_ & ~0x00000008);
       tokenShard_ = 0;
       onChanged();
       return this;
--- a/protocol/src/main/java/io/fuchsiastand/protocol/GiveRequestOrBuilder.java
+++ b/protocol/src/main/java/io/fuchsiastand/protocol/GiveRequestOrBuilder.java
@@ -44,6 +44,16 @@
   io.fuchsiastand.protocol.TokenGiftOrBuilder getGiftsOrBuilder(
       int index);
 
+  /**
+   * <pre>
+   * Whether another daemon has passed the message on, because the sender cannot reach the aggregator.
+   * </pre>
+   *
+   * <code>bool relayed = 3;</code>
+   * @return The relayed.
+   */
+  boolean getRelayed();
+
   /**
    * <pre>
    * The token shard of the allowances.
--- a/protocol/src/main/java/io/fuchsiastand/protocol/PeerProto.java
+++ b/protocol/src/main/java/io/fuchsiastand/protocol/PeerProto.java
@@ -218,42 +218,42 @@
       "eys\030\004 \003(\0132 .fuchsiastand.peer.Remembered" +
       "Key\"\017\n\rTransferReply\"<\n\tTokenGift\022\014\n\004tea" +
       "m\030\001 \001(\t\022\021\n\tallowance\030\002 \001(\t\022\016\n\006tokens\030\003 \001" +
-      "(\001\"]\n\013GiveRequest\022\014\n\004from\030\001 \001(\t\022+\n\005gifts" +
-      "\030\002 \003(\0132\034.fuchsiastand.peer.TokenGift\022\023\n\013" +
-      "token_shard\030\004 \001(\005\"9\n\tGiveReply\022,\n\006wanted" +
-      "\030\001 \003(\0132\034.fuchsiastand.peer.TokenGift\"e\n\013" +
-      "TakeRequest\022\014\n\004from\030\001 \001(\t\022\014\n\004team\030\002 \001(\t\022" +
-      "\021\n\tallowance\030\003 \001(\t\022\027\n\017max_wait_millis\030\004 " +
-      "\001(\003\022\016\n\006waited\030\005 \001(\010\"J\n\tTakeReply\022\017\n\007gran" +
-      "ted\030\001 \001(\010\022\032\n\022retry_after_millis\030\002 \001(\003\022\020\n" +
-      "\010reserved\030\003 \001(\010*9\n\013MemberState\022\t\n\005ALIVE\020" +
-      "\000\022\013\n\007SUSPECT\020\001\022\010\n\004DEAD\020\002\022\010\n\004LEFT\020\003*I\n\rAc" +
-      "quireResult\022\013\n\007GRANTED\020\000\022\r\n\tOVER_RATE\020\001\022" +
-      "\016\n\nNOT_HOLDER\020\002\022\014\n\010NO_RIGHT\020\003*t\n\nTrackPh" +
-      "ase\022\t\n\005BEGIN\020\000\022\007\n\003END\020\001\022\016\n\nCOPY_BEGIN\020\002\022" +
-      "\014\n\010COPY_END\020\003\022\n\n\006CANCEL\020\004\022\017\n\013COPY_CANCEL" +
-      "\020\005\022\010\n\004LOSE\020\006\022\r\n\tCOPY_LOSE\020\007*N\n\013TrackResu" +
-      "lt\022\013\n\007STARTED\020\000\022\013\n\007RUNNING\020\001\022\007\n\003RAN\020\002\022\013\n" +
-      "\007UNKNOWN\020\003\022\017\n\013UNAVAILABLE\020\0042\254\005\n\004Peer\022G\n\005" +
-      "Probe\022\037.fuchsiastand.peer.ProbeRequest\032\035" +
-      ".fuchsiastand.peer.ProbeReply\022D\n\004Sync\022\036." +
-      "fuchsiastand.peer.SyncRequest\032\034.fuchsias" +
-      "tand.peer.SyncReply\022M\n\007Acquire\022!.fuchsia" +
-      "stand.peer.AcquireRequest\032\037.fuchsiastand" +
-      ".peer.AcquireReply\022J\n\005Renew\022\035.fuchsiasta" +
-      "nd.peer.RenewBatch\032\".fuchsiastand.peer.R" +
-      "enewBatchReply\022S\n\tSurrender\022#.fuchsiasta" +
-      "nd.peer.SurrenderRequest\032!.fuchsiastand." +
-      "peer.SurrenderReply\022G\n\005Track\022\037.fuchsiast" +
-      "and.peer.TrackRequest\032\035.fuchsiastand.pee" +
-      "r.TrackReply\022P\n\010Transfer\022\".fuchsiastand." +
-      "peer.TransferRequest\032 .fuchsiastand.peer" +
-      ".TransferReply\022D\n\004Give\022\036.fuchsiastand.pe" +
-      "er.GiveRequest\032\034.fuchsiastand.peer.GiveR" +
-      "eply\022D\n\004Take\022\036.fuchsiastand.peer.TakeReq" +
-      "uest\032\034.fuchsiastand.peer.TakeReplyB\'\n\030io" +
-      ".fuchsiastand.protocolB\tPeerProtoP\001b\006pro" +
-      "to3"
+      "(\001\"n\n\013GiveRequest\022\014\n\004from\030\001 \001(\t\022+\n\005gifts" +
+      "\030\002 \003(\0132\034.fuchsiastand.peer.TokenGift\022\017\n\007" +
+      "relayed\030\003 \001(\010\022\023\n\013token_shard\030\004 \001(\005\"9\n\tGi" +
+      "veReply\022,\n\006wanted\030\001 \003(\0132\034.fuchsiastand.p" +
+      "eer.TokenGift\"v\n\013TakeRequest\022\014\n\004from\030\001 \001" +
+      "(\t\022\014\n\004team\030\002 \001(\t\022\021\n\tallowance\030\003 \001(\t\022\027\n\017m" +
+      "ax_wait_millis\030\004 \001(\003\022\016\n\006waited\030\005 \001(\010\022\017\n\007" +
+      "relayed\030\006 \001(\010\"J\n\tTakeReply\022\017\n\007granted\030\001 " +
+      "\001(\010\022\032\n\022retry_after_millis\030\002 \001(\003\022\020\n\010reser" +
+      "ved\030\003 \001(\010*9\n\013MemberState\022\t\n\005ALIVE\020\000\022\013\n\007S" +
+      "USPECT\020\001\022\010\n\004DEAD\020\002\022\010\n\004LEFT\020\003*I\n\rAcquireR" +
+      "esult\022\013\n\007GRANTED\020\000\022\r\n\tOVER_RATE\020\001\022\016\n\nNOT" +
+      "_HOLDER\020\002\022\014\n\010NO_RIGHT\020\003*t\n\nTrackPhase\022\t\n" +
+      "\005BEGIN\020\000\022\007\n\003END\020\001\022\016\n\nCOPY_BEGIN\020\002\022\014\n\010COP" +
+      "Y_END\020\003\022\n\n\006CANCEL\020\004\022\017\n\013COPY_CANCEL\020\005\022\010\n\004" +
+      "LOSE\020\006\022\r\n\tCOPY_LOSE\020\007*N\n\013TrackResult\022\013\n\007" +
+      "STARTED\020\000\022\013\n\007RUNNING\020\001\022\007\n\003RAN\020\002\022\013\n\007UNKNO" +
+      "WN\020\003\022\017\n\013UNAVAILABLE\020\0042\254\005\n\004Peer\022G\n\005Probe\022" +
+      "\037.fuchsiastand.peer.ProbeRequest\032\035.fuchs" +
+      "iastand.peer.ProbeReply\022D\n\004Sync\022\036.fuchsi" +
+      "astand.peer.SyncRequest\032\034.fuchsiastand.p" +
+      "eer.SyncReply\022M\n\007Acquire\022!.fuchsiastand." +
+      "peer.AcquireRequest\032\037.fuchsiastand.peer." +
+      "AcquireReply\022J\n\005Renew\022\035.fuchsiastand.pee" +
+      "r.RenewBatch\032\".fuchsiastand.peer.RenewBa" +
+      "tchReply\022S\n\tSurrender\022#.fuchsiastand.pee" +
+      "r.SurrenderRequest\032!.fuchsiastand.peer.S" +
+      "urrenderReply\022G\n\005Track\022\037.fuchsiastand.pe" +
+      "er.TrackRequest\032\035.fuchsiastand.peer.Trac" +
+      "kReply\022P\n\010Transfer\022\".fuchsiastand.peer.T" +
+      "ransferRequest\032 .fuchsiastand.peer.Trans" +
+      "ferReply\022D\n\004Give\022\036.fuchsiastand.peer.Giv" +
+      "eRequest\032\034.fuchsiastand.peer.GiveReply\022D" +
+      "\n\004Take\022\036.fuchsiastand.peer.TakeRequest\032\034" +
+      ".fuchsiastand.peer.TakeReplyB\'\n\030io.fuchs" +
+      "iastand.protocolB\tPeerProtoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -396,7 +396,7 @@
     internal_static_fuchsiastand_peer_GiveRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_fuchsiastand_peer_GiveRequest_descriptor,
-        new java.lang.String[] { "From", "Gifts", "TokenShard", });
+        new java.lang.String[] { "From", "Gifts", "Relayed", "TokenShard", });
     internal_static_fuchsiastand_peer_GiveReply_descriptor =
       getDescriptor().getMessageTypes().get(23);
     internal_static_fuchsiastand_peer_GiveReply_fieldAccessorTable = new
@@ -408,7 +408,7 @@
     internal_static_fuchsiastand_peer_TakeRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_fuchsiastand_peer_TakeRequest_descriptor,
-        new java.lang.String[] { "From", "Team", "Allowance", "MaxWaitMillis", "Waited", });
+        new java.lang.String[] { "From", "Team", "Allowance", "MaxWaitMillis", "Waited", "Relayed", });
     internal_static_fuchsiastand_peer_TakeReply_descriptor =
       getDescriptor().getMessageTypes().get(25);
     internal_static_fuchsiastand_peer_TakeReply_fieldAccessorTable = new
--- a/protocol/src/main/java/io/fuchsiastand/protocol/TakeRequest.java
+++ b/protocol/src/main/java/io/fuchsiastand/protocol/TakeRequest.java
@@ -189,6 +189,21 @@
     return waited_;
   }
 
+  public static final int RELAYED_FIELD_NUMBER = 6;
+  private boolean relayed_ = false;
+  /**
+   * <pre>
+   * Whether another daemon has passed the message on, because the sender cannot reach the aggregator.
+   * </pre>
+   *
+   * <code>bool relayed = 6;</code>
+   * @return The relayed.
+   */
+  @java.lang.Override
+  public boolean getRelayed() {
+    return relayed_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -218,6 +233,9 @@
     if (waited_ != false) {
       output.writeBool(5, waited_);
     }
+    if (relayed_ != false) {
+      output.writeBool(6, relayed_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -244,6 +262,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(5, waited_);
     }
+    if (relayed_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(6, relayed_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -269,6 +291,8 @@
         != other.getMaxWaitMillis()) return false;
     if (getWaited()
         != other.getWaited()) return false;
+    if (getRelayed()
+        != other.getRelayed()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -292,6 +316,9 @@
     hash = (37 * hash) + WAITED_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getWaited());
+    hash = (37 * hash) + RELAYED_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getRelayed());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -428,6 +455,7 @@
       allowance_ = "";
       maxWaitMillis_ = 0L;
       waited_ = false;
+      relayed_ = false;
       return this;
     }
 
@@ -476,6 +504,9 @@
       if (((from_bitField0_ & 0x00000010) != 0)) {
         result.waited_ = waited_;
       }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.relayed_ = relayed_;
+      }
     }
 
     @java.lang.Override
@@ -543,6 +574,9 @@
       if (other.getWaited() != false) {
         setWaited(other.getWaited());
       }
+      if (other.getRelayed() != false) {
+        setRelayed(other.getRelayed());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -594,6 +628,11 @@
               bitField0_ |= 0x00000010;
               break;
             } // case 40
+            case 48: {
+              relayed_ = input.readBool();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 48
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -914,6 +953,50 @@
       onChanged();
       return this;
     }
+
+    private boolean relayed_ ;
+    /**
+     * <pre>
+     * Whether another daemon has passed the message on, because the sender cannot reach the aggregator.
+     * </pre>
+     *
+     * <code>bool relayed = 6;</code>
+     * @return The relayed.
+     */
+    @java.lang.Override
+    public boolean getRelayed() {
+      return relayed_;
+    }
+    /**
+     * <pre>
+     * Whether another daemon has passed the message on, because the sender cannot reach the aggregator.
+     * </pre>
+     *
+     * <code>bool relayed = 6;</code>
+     * @param value The relayed to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRelayed(boolean value) {
+
+      relayed_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether another daemon has passed the message on, because the sender cannot reach the aggregator.
+     * </pre>
+     *
+     * <code>bool relayed = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRelayed() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      relayed_ = false;
+      onChanged();
+      return this;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/protocol/src/main/java/io/fuchsiastand/protocol/TakeRequestOrBuilder.java
+++ b/protocol/src/main/java/io/fuchsiastand/protocol/TakeRequestOrBuilder.java
@@ -63,4 +63,14 @@
    * @return The waited.
    */
   boolean getWaited();
+
+  /**
+   * <pre>
+   * Whether another daemon has passed the message on, because the sender cannot reach the aggregator.
+   * </pre>
+   *
+   * <code>bool relayed = 6;</code>
+   * @return The relayed.
+   */
+  boolean getRelayed();
 }
