Do not write the join record of a host again at each restart

Cause: a restarted daemon first created its join record, was told of the conflict, and read the record to compare it: two calls for a record that is nearly always right. Change: it reads the list of join records first, which it needs anyway, and writes only if its record is missing or differs; after a write it reads the list once more, as before. Evidence: JoinControllerTest.readsTheListOnlyWhenARestartedDaemonFindsItsRecord: two calls in two rounds, where it took four.

--- a/daemon/src/main/java/io/fuchsiastand/daemon/store/JoinController.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/store/JoinController.java
@@ -18,7 +18,6 @@
 import io.fuchsiastand.membership.Membership;
 import io.fuchsiastand.protocol.MemberState;
 import io.fuchsiastand.store.ObjectStore;
-import io.fuchsiastand.store.ObjectsAtRevision;
 import io.fuchsiastand.store.RetryingObjectStore;
 import io.fuchsiastand.store.StoredObject;
 import org.tinylog.Logger;
@@ -50,6 +49,8 @@
     private volatile boolean running = true;
     private volatile boolean loaded;
     private boolean recordWritten;
+    // Whether the list of join records, as it was last read, has the record of this host.
+    private boolean recordFound;
     // The era of the store before the join record was last written or found in it.
     private long recordEra;
 
@@ -87,10 +88,7 @@
         Duration interval = INITIAL_INTERVAL;
         while (running) {
             try {
-                writeJoinRecord();
-                readJoinRecords();
-                removeJoinRecordsOfDeadHosts();
-                storeTask.run();
+                exchangeRecords();
                 if (failures > 0) {
                     Logger.info("the object store answers again after {} failures", failures);
                 }
@@ -109,6 +107,16 @@
         }
     }
 
+    // A restarted daemon usually finds the join record of the process before it, and need not write it again.
+    void exchangeRecords() {
+        readJoinRecords();
+        if (writeJoinRecord()) {
+            readJoinRecords();
+        }
+        removeJoinRecordsOfDeadHosts();
+        storeTask.run();
+    }
+
     /** Stops the loop after the round in progress. */
     public void stop() {
         running = false;
@@ -145,18 +153,24 @@
         return true;
     }
 
-    private void writeJoinRecord() {
+    // Returns whether the record was written.
+    private boolean writeJoinRecord() {
         long era = store.era();
+        if (recordFound) {
+            recordWritten = true;
+            recordEra = era;
+            return false;
+        }
         if (recordWritten && era == recordEra) {
-            return;
+            return false;
         }
         Member self = board.members().self();
         String name = NAME_PREFIX + self.host();
         if (recordWritten && store.get(name).isPresent()) {
             recordEra = era;
-            return;
+            return false;
         }
-        byte[] value = Json.write(new JoinRecord(self.host(), self.address(), self.peerPort()));
+        byte[] value = Json.write(ownRecord());
         try {
             store.put(name, value, StoredObject.ABSENT, UUID.randomUUID().toString());
         } catch (FuchsiastandException e) {
@@ -167,6 +181,12 @@
         }
         recordWritten = true;
         recordEra = era;
+        return true;
+    }
+
+    private JoinRecord ownRecord() {
+        Member self = board.members().self();
+        return new JoinRecord(self.host(), self.address(), self.peerPort());
     }
 
     // Replaces the record that an earlier process of this host left, unless it is the same, as it usually is.
@@ -178,9 +198,11 @@
     }
 
     private void readJoinRecords() {
-        ObjectsAtRevision s = store.list(NAME_PREFIX);
-        List<Settings.Endpoint> found = s.objects().stream()
+        List<JoinRecord> records = store.list(NAME_PREFIX).objects().stream()
                 .map(o -> Json.read(o.value(), JoinRecord.class))
+                .toList();
+        recordFound = records.contains(ownRecord());
+        List<Settings.Endpoint> found = records.stream()
                 .filter(j -> !j.host().equals(board.settings().host()))
                 .map(j -> new Settings.Endpoint(j.address(), j.peerPort()))
                 .toList();
