Ask an unavailable store for the configuration less often while peers have it

A daemon whose watch fails asked again up to three times a second, each call priced and refused. While it has a configuration, it receives changes from its peers by an exchange every 0.7 s, so it now waits up to 1.6 s between two calls. A daemon without a configuration, which can serve nothing, asks as often as before.

--- a/daemon/src/main/java/io/fuchsiastand/daemon/store/ConfigurationWatch.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/store/ConfigurationWatch.java
@@ -28,6 +28,8 @@
     public static final Duration MAX_WAIT = Duration.ofSeconds(25);
 
     private static final int MAX_BACKOFF_STEP = 4;
+    // A daemon that has a configuration receives changes from its peers meanwhile.
+    private static final int MAX_BACKOFF_STEP_WITH_CONFIGURATION = 6;
 
     private final Blackboard board;
     private final ConfigurationSource source;
@@ -63,7 +65,7 @@
                     Logger.warn(
                             "{} the configuration source failed: {}", e.code().code(), e.getMessage());
                 }
-                Pause.sleep(RetryingObjectStore.delay(Math.min(failures, MAX_BACKOFF_STEP), random));
+                Pause.sleep(RetryingObjectStore.delay(Math.min(failures, maxBackoffStep()), random));
             }
         }
     }
@@ -73,6 +75,11 @@
         running = false;
     }
 
+    private int maxBackoffStep() {
+        boolean configured = board.configuration().get().configuration().version() > 0;
+        return configured ? MAX_BACKOFF_STEP_WITH_CONFIGURATION : MAX_BACKOFF_STEP;
+    }
+
     private void storeRecords(Configuration c) {
         Map<String, byte[]> chunks = ConfigurationCodec.split(c);
         chunks.forEach((digest, bytes) -> put(ConfigurationCodec.chunkName(digest), 1, bytes));
