Keep uploads of up to 1 MB until they are answered, within a budget

Cause: a body over 64 KB is streamed, and a stream can be sent only once, also when the first attempt reached no backend server. Uploads have 60 KB on the mean. Change: a body of known length up to 1 MB is kept while all kept bodies together take at most a sixteenth of the heap (4 MB of 64). Beyond that it is streamed as before. An upload that may have run is still never sent again. Evidence: UploadTest failed before with 503 for the first upload; BodyBudgetTest bounds the memory under uploads that come in faster than they are answered.

--- a/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/Dispatcher.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/Dispatcher.java
@@ -58,7 +58,8 @@
  */
 public final class Dispatcher {
 
-    private static final int MAX_BUFFERED_BODY_BYTES = 64 * 1024;
+    // Kept bodies may use this part of the heap.
+    private static final int KEPT_BODIES_HEAP_DIVISOR = 16;
     private static final long RETRY_AFTER_MILLIS = 200;
     // After its start, a daemon has discovered only a few members and must not use the retry slack of the whole fleet
     // alone.
@@ -87,6 +88,7 @@
     // The largest fleet size observed. If a network partition makes the fleet look smaller, each daemon's share of the
     // retry slack must not grow.
     private final AtomicInteger maxFleetSize = new AtomicInteger(MIN_FLEET_SIZE);
+    private final BodyBudget bodyBudget = new BodyBudget(Runtime.getRuntime().maxMemory() / KEPT_BODIES_HEAP_DIVISOR);
     private final Map<String, RetryBudget> budgets = new ConcurrentHashMap<>();
     private final Map<String, ServiceBaseline> baselines = new ConcurrentHashMap<>();
     private final StreamingHttpRequestFactory requestFactory = new DefaultStreamingHttpRequestResponseFactory(
@@ -142,12 +144,14 @@
         if (!RequestCheck.hasBody(request)) {
             return start(newAttempts(routed, service, EMPTY_BODY));
         }
-        if (RequestCheck.bodyLength(request) > MAX_BUFFERED_BODY_BYTES) {
+        long length = RequestCheck.bodyLength(request);
+        if (!bodyBudget.tryReserve(length)) {
             return start(newAttempts(routed, service, null));
         }
         // A buffered body can be sent again, and it is known to be complete before any of it is sent.
         return request.toRequest()
                 .flatMap(r -> start(newAttempts(routed, service, r.payloadBody())))
+                .afterFinally(() -> bodyBudget.release(length))
                 .onErrorMap(
                         IOException.class,
                         e -> RefusalException.notSent(
