Wait until the raw backend server has closed its connections between tests

Seen once in 5 runs: HttpFramingTest.sendsAnIdempotentCallWhenEveryBackendServerIsSuspect got another answer than 200, and the class took 4 to 128 s. Change: the reset before each test waits until the connections are closed; this test's responses announce it. The checks stay.

--- a/daemon/src/test/java/io/fuchsiastand/daemon/HttpFramingTest.java
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/HttpFramingTest.java
@@ -65,6 +65,8 @@
         backend.response = RawBackendServer.LAST_RESPONSE;
         backend.closesAfterResponse = true;
         backend.delayMillis = 0;
+        // A call on a connection that the backend server is about to close would fail.
+        Fleet.await("the backend server has closed its connections", () -> backend.openConnections.get() == 0);
         awaitSuccessfulCalls();
         backend.events.clear();
     }
@@ -181,11 +183,11 @@
     @Test
     void sendsAnIdempotentCallWhenEveryBackendServerIsSuspect() throws Exception {
         String get = "GET /menu HTTP/1.1\r\n" + HOST_AND_CLOSE + AUTH + "\r\n";
-        backend.response = "HTTP/1.1 500 Internal Server Error\r\ncontent-length: 4\r\n\r\nboom";
+        backend.response = "HTTP/1.1 500 Internal Server Error\r\nconnection: close\r\ncontent-length: 4\r\n\r\nboom";
         for (int i = 0; i < 20; i++) {
             exchange(get);
         }
-        backend.response = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+        backend.response = RawBackendServer.LAST_RESPONSE;
 
         assertThat(exchange(get)).startsWith("HTTP/1.1 200");
     }
--- a/daemon/src/test/java/io/fuchsiastand/daemon/RawBackendServer.java
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/RawBackendServer.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * A backend server without an HTTP library. It responds with bytes that the test sets. A connection carries one request if
@@ -32,6 +33,8 @@
      */
     final List<String> events = new CopyOnWriteArrayList<>();
 
+    final AtomicInteger openConnections = new AtomicInteger();
+
     volatile String response = LAST_RESPONSE;
     volatile boolean closesAfterResponse = true;
     /** Bytes that follow the response again and again until the client closes the connection; none if empty. */
@@ -58,6 +61,7 @@
         while (!server.isClosed()) {
             try {
                 Socket s = server.accept();
+                openConnections.incrementAndGet();
                 Thread t = new Thread(() -> handle(s), "raw-connection");
                 t.setDaemon(true);
                 t.start();
@@ -92,6 +96,8 @@
             Thread.currentThread().interrupt();
         } catch (IOException e) {
             events.add("broken: " + e.getMessage());
+        } finally {
+            openConnections.decrementAndGet();
         }
     }
 
