Keep the token transfers of two shards to one aggregator apart

In a fleet of more than 64 hosts one host may aggregate two token shards. An issuer remembered needs, times and transfers in flight by host, so the answer for one shard stopped the transfers of the other; since answers list only one shard, it would have received no more tokens. Also, a daemon that could not relay a transfer answered with an error, and the issuer then skipped it although it can be reached. Change: TokenTransfers in core decides by token shard and host; a relay that fails answers with the needs as it knows them.

--- a/daemon/src/main/java/io/fuchsiastand/daemon/limit/TokenController.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/limit/TokenController.java
@@ -9,7 +9,6 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.ToDoubleFunction;
 
 import io.fuchsiastand.config.Allowance;
@@ -22,6 +21,7 @@
 import io.fuchsiastand.limit.Grant;
 import io.fuchsiastand.limit.TeamService;
 import io.fuchsiastand.limit.TokenAggregators;
+import io.fuchsiastand.limit.TokenTransfers;
 import io.fuchsiastand.limit.UnusedTokenLimits;
 import io.fuchsiastand.membership.Member;
 import io.fuchsiastand.membership.Membership;
@@ -50,8 +50,6 @@
 public final class TokenController implements RateLimiter {
 
     private static final Duration CALL_TIMEOUT = Duration.ofMillis(250);
-    // Time after which an issuer asks an aggregator that needed no tokens again.
-    private static final Duration NEED_CHECK_PERIOD = Duration.ofMillis(400);
     // Shorter than the time that the sender of a relayed message waits.
     private static final Duration RELAY_TIMEOUT = Duration.ofMillis(150);
     private static final int MAX_CANDIDATES_PER_TOKEN_SHARD = 3;
@@ -63,12 +61,7 @@
     private final Peers peers;
     private final Executor timer;
     private final DistributedTokenBuckets buckets;
-    // Aggregators to which a transfer from this daemon is in flight.
-    private final Set<String> transfersInFlight = ConcurrentHashMap.newKeySet();
-    // The times of the last transfers, by aggregator.
-    private final Map<String, Long> lastTransfers = new ConcurrentHashMap<>();
-    // For each aggregator, the allowances for which it needs tokens according to its last reply.
-    private final Map<String, Set<TeamService>> neededAllowances = new ConcurrentHashMap<>();
+    private final TokenTransfers transfers;
     private final TokenAggregators aggregators;
     private volatile Map<Integer, Set<TeamService>> allowancesByTokenShard = Map.of();
     // Only tick() uses it.
@@ -87,6 +80,7 @@
         this.board = board;
         this.peers = peers;
         aggregators = new TokenAggregators(board.settings().host(), board.clock());
+        transfers = new TokenTransfers(board.clock());
         FleetRules r = board.settings().rules();
         buckets = new DistributedTokenBuckets(
                 new UnusedTokenLimits(r.quotaWindow(), r.quotaOver(), r.quotaSlack()), this::allowance, board.clock());
@@ -158,17 +152,24 @@
         if (target.isPresent()) {
             GiveRequest relayed = request.toBuilder().setRelayed(true).build();
             return peers.<GiveReply>call(target.get(), CALL_TIMEOUT, (stub, o) -> stub.give(relayed, o))
-                    .whenComplete((r, e) -> skipOnError(target.get(), e));
+                    .handle((r, e) -> {
+                        skipOnError(target.get(), e);
+                        return e == null ? r : createGiveReply(request.getTokenShard());
+                    });
         }
         for (TokenGift g : request.getGiftsList()) {
             buckets.receive(new TeamService(g.getTeam(), g.getAllowance()), g.getTokens());
         }
+        return CompletableFuture.completedFuture(createGiveReply(request.getTokenShard()));
+    }
+
+    private GiveReply createGiveReply(int tokenShard) {
         GiveReply.Builder out = GiveReply.newBuilder();
-        Set<TeamService> keys = allowancesByTokenShard.getOrDefault(request.getTokenShard(), Set.of());
+        Set<TeamService> keys = allowancesByTokenShard.getOrDefault(tokenShard, Set.of());
         for (TeamService k : buckets.needingTokens(keys)) {
             out.addWanted(TokenGift.newBuilder().setTeam(k.team()).setAllowance(k.service()));
         }
-        return CompletableFuture.completedFuture(out.build());
+        return out.build();
     }
 
     /**
@@ -263,49 +264,32 @@
                 .flatMap(board.members()::find)
                 .orElse(null);
         logAggregatorChange(tokenShard, m);
-        // At most one transfer to a host is in flight, so that the tokens in transit from this host stay below the
-        // number that an issuer may store.
-        if (m == null || isSelf(m) || transfersInFlight.contains(m.host())) {
+        if (m == null || isSelf(m) || !transfers.mayStart(tokenShard, m.host())) {
             return;
         }
-        Set<TeamService> due = new HashSet<>(keys);
-        Set<TeamService> needed = neededAllowances.get(m.host());
-        if (needed != null) {
-            due.retainAll(needed);
-        }
         GiveRequest.Builder request =
                 GiveRequest.newBuilder().setFrom(board.settings().host()).setTokenShard(tokenShard);
-        buckets.takeForTransfer(due)
+        buckets.takeForTransfer(transfers.select(tokenShard, m.host(), keys))
                 .forEach((k, n) -> request.addGifts(TokenGift.newBuilder()
                         .setTeam(k.team())
                         .setAllowance(k.service())
                         .setTokens(n)));
-        long now = board.clock().nanoTime();
-        if (request.getGiftsCount() == 0 && !isNeedCheckDue(m, keys, now)) {
+        if (!transfers.start(tokenShard, m.host(), request.getGiftsCount() > 0, buckets.issuesAny(keys))) {
             return;
         }
-        lastTransfers.put(m.host(), now);
-        transfersInFlight.add(m.host());
         peers.<GiveReply>call(m, CALL_TIMEOUT.multipliedBy(2), (stub, o) -> stub.give(request.build(), o))
                 .whenComplete((r, e) -> {
-                    transfersInFlight.remove(m.host());
                     if (e != null) {
                         skipOnError(m, e);
-                        neededAllowances.remove(m.host());
+                        transfers.failed(tokenShard, m.host());
                         return;
                     }
-                    Set<TeamService> next = new HashSet<>();
-                    r.getWantedList().forEach(g -> next.add(new TeamService(g.getTeam(), g.getAllowance())));
-                    neededAllowances.put(m.host(), next);
+                    Set<TeamService> needed = new HashSet<>();
+                    r.getWantedList().forEach(g -> needed.add(new TeamService(g.getTeam(), g.getAllowance())));
+                    transfers.answered(tokenShard, m.host(), needed);
                 });
     }
 
-    // A host that issues no tokens of the shard has no use for the needs of its aggregator.
-    private boolean isNeedCheckDue(Member aggregator, Set<TeamService> keys, long now) {
-        Long last = lastTransfers.get(aggregator.host());
-        return (last == null || now - last >= NEED_CHECK_PERIOD.toNanos()) && buckets.issuesAny(keys);
-    }
-
     private void logAggregatorChange(int tokenShard, Member m) {
         String now = m == null ? "" : m.host();
         if (!now.equals(loggedAggregators.get(tokenShard))) {
