--- a/daemon/src/main/java/io/fuchsiastand/daemon/Daemon.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/Daemon.java
@@ -125,9 +125,9 @@
         RequestLog log = new RequestLog(clock);
         OwnerService owner = new OwnerService(
                 backends::find, backends::leave, clock, settings.host(), conventions, log, transport.timer());
-        RetryBudgets retryBudgets = new RetryBudgets(board, peers);
-        Dispatcher dispatcher = new Dispatcher(
-                board, peers, owner, metrics, conventions, log, backends::retryShare, retryBudgets, transport.timer());
+        RetryBudgets retryBudgets = new RetryBudgets(board, peers, backends::retryShare);
+        Dispatcher dispatcher =
+                new Dispatcher(board, peers, owner, metrics, conventions, log, retryBudgets, transport.timer());
         IdempotencyGuard idempotencyGuard =
                 new IdempotencyGuard(idempotency, limits, settings.host(), dispatcher::dispatch);
         callerService = new CallerService(
--- a/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/Dispatcher.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/Dispatcher.java
@@ -9,7 +9,6 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeoutException;
-import java.util.function.DoubleSupplier;
 import java.util.function.Supplier;
 
 import io.fuchsiastand.config.WeightedService;
@@ -77,7 +76,6 @@
     private final Metrics metrics;
     private final HeaderConventions conventions;
     private final RequestLog log;
-    private final DoubleSupplier retryShare;
     private final Executor timer;
     private final BodyBudget bodyBudget = new BodyBudget(Runtime.getRuntime().maxMemory() / KEPT_BODIES_HEAP_DIVISOR);
     private final RetryBudgets budgets;
@@ -94,7 +92,6 @@
      * @param metrics the metrics of this daemon
      * @param conventions the names of the headers that callers and backend servers use
      * @param log the log of decisions about requests
-     * @param retryShare returns the share of retries among the calls in flight on backend servers of this host, 0 to 1
      * @param budgets the retry budgets by service
      * @param timer runs the timeouts of requests to other daemons
      */
@@ -105,12 +102,10 @@
             Metrics metrics,
             HeaderConventions conventions,
             RequestLog log,
-            DoubleSupplier retryShare,
             RetryBudgets budgets,
             Executor timer) {
         this.budgets = budgets;
         this.timer = timer;
-        this.retryShare = retryShare;
         this.log = log;
         this.conventions = conventions;
         this.board = board;
@@ -156,12 +151,7 @@
     }
 
     private Single<StreamingHttpResponse> start(CallAttempts a) {
-        a.budget.recordRequest();
-        if (a.routed.team().isEmpty()) {
-            // A request without a team is on an open route. It may come from a backend server of this host and be
-            // caused by a retry that runs there.
-            a.budget.recordRetries(retryShare.getAsDouble());
-        }
+        budgets.recordRequest(a.budget, a.routed);
         // The result of the last attempt may state that the request has not run. That is corrected here if an earlier
         // attempt may have run.
         return nextAttempt(a)
--- a/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/RetryBudgets.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/RetryBudgets.java
@@ -8,9 +8,11 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.DoubleSupplier;
 
 import io.fuchsiastand.daemon.board.Blackboard;
 import io.fuchsiastand.daemon.board.FleetRules;
+import io.fuchsiastand.daemon.edge.RoutedRequest;
 import io.fuchsiastand.daemon.http.Peers;
 import io.fuchsiastand.membership.Member;
 import io.fuchsiastand.protocol.LendReply;
@@ -39,6 +41,7 @@
 
     private final Blackboard board;
     private final Peers peers;
+    private final DoubleSupplier retryShare;
     private final long startNanos;
     // The largest fleet size observed. If a network partition makes the fleet look smaller, each daemon's share of the
     // retry slack must not grow.
@@ -51,8 +54,10 @@
      *
      * @param board the blackboard
      * @param peers connections to other daemons
+     * @param retryShare returns the share of retries among the calls in flight on backend servers of this host, 0 to 1
      */
-    public RetryBudgets(Blackboard board, Peers peers) {
+    public RetryBudgets(Blackboard board, Peers peers, DoubleSupplier retryShare) {
+        this.retryShare = retryShare;
         this.board = board;
         this.peers = peers;
         startNanos = board.clock().nanoTime();
@@ -72,6 +77,15 @@
         return LendReply.newBuilder().setLent(lent).build();
     }
 
+    void recordRequest(RetryBudget budget, RoutedRequest request) {
+        budget.recordRequest();
+        if (request.team().isEmpty()) {
+            // A request without a team is on an open route. It may come from a backend server of this host and be
+            // caused by a retry that runs there.
+            budget.recordRetries(retryShare.getAsDouble());
+        }
+    }
+
     RetryBudget of(String service) {
         return budgets.computeIfAbsent(service, k -> {
             FleetRules rules = board.settings().rules();
