--- a/core/src/main/java/io/fuchsiastand/retry/RetryBudget.java
+++ b/core/src/main/java/io/fuchsiastand/retry/RetryBudget.java
@@ -21,10 +21,8 @@
 public final class RetryBudget {
 
     // The budget counts in slices and drops the oldest slice as a whole. It counts requests over 9 to 10 slices and
-    // retries
-    // over 10 to 11, so the first count may be too low and the second too high, but not the other way round. The
-    // fleet's rule
-    // on retries may count the requests of the current window and of the previous one.
+    // retries over 10 to 11, so the first count may be too low and the second too high, but not the other way round.
+    // The fleet's rule on retries may count the requests of the current window and of the previous one.
     private static final int SLICES = 10;
     private static final int RETRY_SLICES = SLICES + 1;
     // The budget uses only this share of the ratio, because the service may count a request in another window than
