--- a/review/standins/HangAfterKills.java
+++ b/review/standins/HangAfterKills.java
@@ -186,19 +186,13 @@
         }
     }
 
-    private int result() throws IOException, InterruptedException {
-        List<String> hung = new ArrayList<>();
-        for (Machine m : machines) {
-            if (m.daemon.process.isAlive() && fleet.answers(m.daemon) == 0 && fleet.answers(m.daemon) == 0) {
-                hung.add(m.daemon.host + (m.kills.isEmpty() ? " (never killed)" : ""));
-                if (System.getProperty("jstack") != null) {
-                    new ProcessBuilder("jstack", Long.toString(m.daemon.process.pid()))
-                            .redirectOutput(Path.of(System.getProperty("jstack"), m.daemon.host + ".stack").toFile())
-                            .start()
-                            .waitFor();
-                }
-            }
-        }
+    private int result() {
+        List<String> hung = machines.parallelStream()
+                .filter(m -> m.daemon.process.isAlive()
+                        && fleet.answers(m.daemon) == 0
+                        && fleet.answers(m.daemon) == 0)
+                .map(m -> m.daemon.host + (m.kills.isEmpty() ? " (never killed)" : ""))
+                .toList();
         String summary = "at machines in touch: sent " + sent + ", answered " + answered
                 + ", unanswered at timeout_ms " + late + ", of these still half a second later " + never
                 + "; daemons that run and answer nothing in calm: " + hung;
