Call the listeners of members without holding their lock

Callers saw daemons that stopped answering for good after many processes had been killed at the same moment and started again: no status and no close until their own deadline. Heartbeats and GET /ready went unanswered too.

Cause: Membership called its listeners inside its lock. The listener of DirectoryController waits for the lock of ServiceDirectory, whose owner asks Membership for the host of each backend server. A probe on one thread and a heartbeat, a host record or a configuration on another deadlocked, and each thread that picks a backend server waited with them.

RecordStore had the same order: it asks its name filter, and so the members, inside its lock, while Membership.expire removed records inside its own.

Change: Membership queues what listeners have to learn and delivers it without the lock, one at a time and in the order of the changes; find takes no lock. No thread can hold one of these locks and wait for another one that is held by a thread waiting for the first.

--- a/core/src/main/java/io/fuchsiastand/membership/Membership.java
+++ b/core/src/main/java/io/fuchsiastand/membership/Membership.java
@@ -1,9 +1,11 @@
 package io.fuchsiastand.membership;
 
 import java.time.Duration;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -12,6 +14,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
@@ -26,6 +30,12 @@
  * direct and indirect probes, a suspected state before a member is declared dead, and incarnation numbers with which a
  * live member refutes a suspicion. SWIM probes random targets; here each daemon probes its successors on a few hash
  * rings, so that it needs only a few connections and can keep them open.
+ *
+ * <p>Members can be read and changed from any thread. Listeners are called without the lock, one at a time and in the order
+ * of the changes. If several threads change members at the same time, one of them calls the listeners for all. A method that
+ * changes members can therefore return before the listeners have received its changes. A listener can read and change
+ * members; its changes are delivered after the one that it has received. If a listener fails, the method that called it
+ * fails, and the next method that changes members or {@link #expire} delivers the remaining changes.
  */
 public final class Membership {
 
@@ -51,10 +61,13 @@
     private final String self;
     private final Clock clock;
     private final RandomGenerator random;
-    private final Map<String, Member> members = new LinkedHashMap<>();
+    private final Map<String, Member> members = new ConcurrentHashMap<>();
     private final Map<String, Integer> remainingTransmissions = new LinkedHashMap<>();
-    private final List<Consumer<Member>> listeners = new ArrayList<>();
-    private final List<Consumer<String>> removalListeners = new ArrayList<>();
+    private final List<Consumer<Member>> listeners = new CopyOnWriteArrayList<>();
+    private final List<Consumer<String>> removalListeners = new CopyOnWriteArrayList<>();
+    // Calls of listeners that are due, in the order of the changes.
+    private final Deque<Runnable> notifications = new ArrayDeque<>();
+    private boolean notifying;
     private final Map<String, long[]> ringPositions = new HashMap<>();
     // Null after a member change. Recomputed on the next use only, since a joining daemon applies many changes at once.
     private List<Member> neighbours = List.of();
@@ -96,7 +109,7 @@
      *
      * @param listener called with the new or changed member
      */
-    public synchronized void listen(Consumer<Member> listener) {
+    public void listen(Consumer<Member> listener) {
         listeners.add(listener);
     }
 
@@ -105,7 +118,7 @@
      *
      * @param listener called with the host name of the removed member
      */
-    public synchronized void listenRemoved(Consumer<String> listener) {
+    public void listenRemoved(Consumer<String> listener) {
         removalListeners.add(listener);
     }
 
@@ -114,17 +127,17 @@
      *
      * @return the member
      */
-    public synchronized Member self() {
+    public Member self() {
         return members.get(self);
     }
 
     /**
-     * Finds a member.
+     * Finds a member. Does not take the lock of the members, so that it can be called while other locks are held.
      *
      * @param host the name of its host
      * @return the member, or empty if the host is unknown
      */
-    public synchronized Optional<Member> find(String host) {
+    public Optional<Member> find(String host) {
         return Optional.ofNullable(members.get(host));
     }
 
@@ -228,18 +241,26 @@
      *
      * @param host the name of its host
      */
-    public synchronized void suspect(String host) {
-        Member m = members.get(host);
-        if (m != null && m.state() == MemberState.ALIVE && !host.equals(self)) {
-            recordMember(m.withState(MemberState.SUSPECT, m.incarnation(), clock.nanoTime()));
+    public void suspect(String host) {
+        synchronized (this) {
+            Member m = members.get(host);
+            if (m != null && m.state() == MemberState.ALIVE && !host.equals(self)) {
+                recordMember(m.withState(MemberState.SUSPECT, m.incarnation(), clock.nanoTime()));
+            }
         }
+        notifyListeners();
     }
 
     /**
      * Declares members dead that have been suspected for {@link #SUSPICION_TIMEOUT}, and removes members that died or
      * left {@link #DEAD_RETENTION} ago.
      */
-    public synchronized void expire() {
+    public void expire() {
+        applyTimeouts();
+        notifyListeners();
+    }
+
+    private synchronized void applyTimeouts() {
         long now = clock.nanoTime();
         for (Member m : List.copyOf(members.values())) {
             long age = now - m.stateSinceNanos();
@@ -250,7 +271,7 @@
                 changes++;
                 remainingTransmissions.remove(m.host());
                 ringPositions.remove(m.host());
-                removalListeners.forEach(l -> l.accept(m.host()));
+                notifications.add(() -> removalListeners.forEach(l -> l.accept(m.host())));
             }
         }
     }
@@ -260,20 +281,26 @@
      *
      * @param updates the updates
      */
-    public synchronized void apply(Collection<MemberUpdate> updates) {
-        for (MemberUpdate u : updates) {
-            if (u.getHost().equals(self)) {
-                refute(u);
-            } else if (isNewer(members.get(u.getHost()), u)) {
-                recordMember(Member.of(u, clock.nanoTime()));
+    public void apply(Collection<MemberUpdate> updates) {
+        synchronized (this) {
+            for (MemberUpdate u : updates) {
+                if (u.getHost().equals(self)) {
+                    refute(u);
+                } else if (isNewer(members.get(u.getHost()), u)) {
+                    recordMember(Member.of(u, clock.nanoTime()));
+                }
             }
         }
+        notifyListeners();
     }
 
     /** Marks this daemon as having left the fleet and queues the update for sending. */
-    public synchronized void leave() {
-        Member m = members.get(self);
-        recordMember(m.withState(MemberState.LEFT, m.incarnation(), clock.nanoTime()));
+    public void leave() {
+        synchronized (this) {
+            Member m = members.get(self);
+            recordMember(m.withState(MemberState.LEFT, m.incarnation(), clock.nanoTime()));
+        }
+        notifyListeners();
     }
 
     /**
@@ -374,7 +401,29 @@
         enqueueUpdate(m.host());
         neighbours = null;
         changes++;
-        listeners.forEach(l -> l.accept(m));
+        notifications.add(() -> listeners.forEach(l -> l.accept(m)));
+    }
+
+    // Must be called without the lock. A listener may wait for a lock whose owner waits for the members.
+    private void notifyListeners() {
+        for (Runnable next = takeNotification(); next != null; next = takeNotification()) {
+            try {
+                next.run();
+            } finally {
+                endNotification();
+            }
+        }
+    }
+
+    // Returns null if no notification is due, or if another thread delivers them.
+    private synchronized Runnable takeNotification() {
+        Runnable next = notifying ? null : notifications.poll();
+        notifying |= next != null;
+        return next;
+    }
+
+    private synchronized void endNotification() {
+        notifying = false;
     }
 
     // Returns the number of times that an update is sent. It grows with the logarithm of the number of members.
--- a/core/src/main/java/io/fuchsiastand/replication/RecordStore.java
+++ b/core/src/main/java/io/fuchsiastand/replication/RecordStore.java
@@ -63,7 +63,8 @@
      * Sets the filter that decides by name which records are stored. Without a filter, this daemon would store the record
      * of a removed host again when a peer that still has it sends it.
      *
-     * @param filter returns true for the name of a record that may be stored
+     * @param filter returns true for the name of a record that may be stored; called while the records are locked, so it must
+     *     not wait for another lock
      */
     public synchronized void setNameFilter(Predicate<String> filter) {
         nameFilter = filter;
@@ -160,6 +161,17 @@
         }
     }
 
+    /**
+     * Removes a record if the name filter rejects its name.
+     *
+     * @param name the name of the record
+     */
+    public synchronized void removeIfRejected(String name) {
+        if (!nameFilter.test(name)) {
+            remove(name);
+        }
+    }
+
     /**
      * Returns the number of records, including content-addressed ones.
      *
--- a/core/src/main/java/io/fuchsiastand/routing/ServiceDirectory.java
+++ b/core/src/main/java/io/fuchsiastand/routing/ServiceDirectory.java
@@ -62,7 +62,8 @@
      *
      * @param dataCentre the data centre of this daemon
      * @param clock the clock
-     * @param members returns the member of the fleet on a host
+     * @param members returns the member of the fleet on a host; called while the directory is locked, so it must not wait for
+     *     another lock
      * @param services returns the settings of a service
      */
     public ServiceDirectory(
@@ -122,11 +123,15 @@
     }
 
     /**
-     * Removes a host that left the fleet for good, with its backend servers.
+     * Removes a host that left the fleet for good, with its backend servers. Does nothing if the host is a member of the
+     * fleet, because it has joined again.
      *
      * @param host the name of the host
      */
     public synchronized void removeHost(String host) {
+        if (members.apply(host).isPresent()) {
+            return;
+        }
         update(new HostRecord(host, List.of()));
         candidatesByHost.remove(host);
     }
--- a/core/src/test/java/io/fuchsiastand/membership/MembershipTest.java
+++ b/core/src/test/java/io/fuchsiastand/membership/MembershipTest.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.api.Test;
 
 import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 class MembershipTest {
 
@@ -82,6 +83,58 @@
         assertThat(a.find("b")).isEmpty();
     }
 
+    // Guards against daemons that hang: a listener that needs another lock deadlocks with a thread that holds that lock
+    // and
+    // waits for the members.
+    @Test
+    void callsListenersWithoutHoldingItsLock() {
+        List<Boolean> lockHeld = new ArrayList<>();
+        a.listen(m -> lockHeld.add(Thread.holdsLock(a)));
+        a.listenRemoved(h -> lockHeld.add(Thread.holdsLock(a)));
+        addMember(a, "b");
+        a.suspect("b");
+        clock.advance(Membership.SUSPICION_TIMEOUT);
+        a.expire();
+        clock.advance(Membership.DEAD_RETENTION);
+        a.expire();
+        a.leave();
+        assertThat(lockHeld).containsExactly(false, false, false, false, false);
+    }
+
+    @Test
+    void deliversAChangeThatAListenerMakesAfterTheOneThatItReceives() {
+        List<MemberState> first = new ArrayList<>();
+        List<MemberState> second = new ArrayList<>();
+        a.listen(m -> {
+            first.add(m.state());
+            a.suspect(m.host());
+        });
+        a.listen(m -> second.add(m.state()));
+        addMember(a, "b");
+        assertThat(first)
+                .containsExactly(MemberState.ALIVE, MemberState.SUSPECT)
+                .inOrder();
+        assertThat(second)
+                .containsExactly(MemberState.ALIVE, MemberState.SUSPECT)
+                .inOrder();
+    }
+
+    @Test
+    void deliversTheRemainingChangesAfterAListenerHasFailed() {
+        List<String> received = new ArrayList<>();
+        a.listen(m -> {
+            received.add(m.host());
+            if (m.host().equals("b")) {
+                throw new IllegalStateException("the listener fails for b");
+            }
+        });
+        assertThrows(
+                IllegalStateException.class,
+                () -> a.apply(List.of(member("b").toUpdate(), member("c").toUpdate())));
+        a.expire();
+        assertThat(received).containsExactly("b", "c").inOrder();
+    }
+
     @Test
     void reachesEveryMemberAlthoughEachHasFewNeighbours() {
         int n = 300;
--- a/daemon/src/main/java/io/fuchsiastand/daemon/membership/DirectoryController.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/membership/DirectoryController.java
@@ -45,10 +45,10 @@
     }
 
     // A removed host must not count as missing capacity, and this daemon must no longer send the record of that host to
-    // peers.
+    // peers. Both calls do nothing if the host has joined again before this listener is called.
     private void onMemberRemoved(String host) {
         board.directory().removeHost(host);
-        board.records().remove(HostRecord.PREFIX + host);
+        board.records().removeIfRejected(HostRecord.PREFIX + host);
     }
 
     private void onRecord(Record r) {
