Publish host records and refuse waiting calls without holding a lock

What callers would see is a daemon that hangs. No cycle of locks was found here and none was met in a run, so this is the removal of the cause, not the fix of a fault that was seen.

Change: both collect what is to be called and call it after they have released their locks. Records carry a sequence number that is given under the lock, so a record store never replaces a later record by an earlier one.

--- a/daemon/src/main/java/io/fuchsiastand/daemon/owner/BackendController.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/owner/BackendController.java
@@ -1,11 +1,13 @@
 package io.fuchsiastand.daemon.owner;
 
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Predicate;
 
 import io.fuchsiastand.config.Detection;
 import io.fuchsiastand.config.Json;
@@ -86,7 +88,11 @@
      * @return false if the announcement is outdated: its sender has been unregistered, the sender has sent a newer
      *     announcement, or a process that started later uses its name or address
      */
-    public synchronized boolean announce(LocalBackend.Announcement a) {
+    public boolean announce(LocalBackend.Announcement a) {
+        return change(callbacks -> announce(a, callbacks));
+    }
+
+    private boolean announce(LocalBackend.Announcement a, List<Runnable> callbacks) {
         if (isOutdated(a)) {
             Logger.info(
                     "ignored an outdated announcement of backend server {}: born {}, sequence {}",
@@ -104,14 +110,14 @@
         if (known != null && isRenewal(known, a)) {
             known.renew(a);
             if (a.draining()) {
-                drain(a.id());
+                drain(known, callbacks);
             }
             return true;
         }
         backends.values().stream()
                 .filter(b -> b == known || hasSameAddress(b, a))
                 .toList()
-                .forEach(this::remove);
+                .forEach(b -> remove(b, callbacks));
         LocalBackend added = new LocalBackend(
                 a, service(a.service()), transport.backendClient(a.address(), a.port()), board.clock());
         backends.put(a.id(), added);
@@ -119,7 +125,7 @@
         if (a.draining()) {
             added.health().drain(board.clock().nanoTime());
         }
-        publish();
+        publish(callbacks);
         return true;
     }
 
@@ -144,16 +150,21 @@
      * @param id its name
      * @return false if no backend server of this name is on this host
      */
-    public synchronized boolean drain(String id) {
-        LocalBackend b = backends.get(id);
-        if (b == null) {
-            return false;
-        }
+    public boolean drain(String id) {
+        return change(callbacks -> {
+            LocalBackend b = backends.get(id);
+            if (b != null) {
+                drain(b, callbacks);
+            }
+            return b != null;
+        });
+    }
+
+    private void drain(LocalBackend b, List<Runnable> callbacks) {
         if (b.health().state() != BackendState.DRAINING) {
-            stopNewCalls(b);
-            Logger.info("backend server {} is draining", id);
+            stopNewCalls(b, callbacks);
+            Logger.info("backend server {} is draining", b.announcement().id());
         }
-        return true;
     }
 
     /**
@@ -161,20 +172,24 @@
      *
      * @param b the backend server
      */
-    public synchronized void leave(LocalBackend b) {
-        if (!b.isLeaving()) {
-            b.recordLeaving();
-            stopNewCalls(b);
-            Logger.info(
-                    "backend server {} states that it is about to leave",
-                    b.announcement().id());
-        }
+    public void leave(LocalBackend b) {
+        change(callbacks -> {
+            boolean first = !b.isLeaving();
+            if (first) {
+                b.recordLeaving();
+                stopNewCalls(b, callbacks);
+                Logger.info(
+                        "backend server {} states that it is about to leave",
+                        b.announcement().id());
+            }
+            return first;
+        });
     }
 
-    private void stopNewCalls(LocalBackend b) {
+    private void stopNewCalls(LocalBackend b, List<Runnable> callbacks) {
         b.health().drain(board.clock().nanoTime());
-        b.queue().refuseAll(ErrorCode.NO_BACKEND);
-        publish();
+        callbacks.add(() -> b.queue().refuseAll(ErrorCode.NO_BACKEND));
+        publish(callbacks);
     }
 
     /**
@@ -183,7 +198,7 @@
      * @param id its name
      * @return false if no backend server of this name is on this host
      */
-    public synchronized boolean unregister(String id) {
+    public boolean unregister(String id) {
         return unregister(id, 0);
     }
 
@@ -196,7 +211,11 @@
      * @param born start time of its process in milliseconds since 1970, or 0 if it does not report one
      * @return false if no backend server of this name is on this host, or if its process started after {@code born}
      */
-    public synchronized boolean unregister(String id, long born) {
+    public boolean unregister(String id, long born) {
+        return change(callbacks -> unregister(id, born, callbacks));
+    }
+
+    private boolean unregister(String id, long born, List<Runnable> callbacks) {
         LocalBackend b = backends.get(id);
         if (b != null && born != 0 && b.announcement().born() > born) {
             return false;
@@ -205,9 +224,9 @@
         if (b == null) {
             return false;
         }
-        remove(b);
+        remove(b, callbacks);
         Logger.info("backend server {} is unregistered", id);
-        publish();
+        publish(callbacks);
         return true;
     }
 
@@ -227,35 +246,50 @@
     }
 
     /** Updates the health of all backend servers, removes expired ones and publishes changes. Called periodically. */
-    public synchronized void tick() {
-        long now = board.clock().nanoTime();
-        for (LocalBackend b : List.copyOf(backends.values())) {
-            b.tick(now);
-            if (b.isExpired(now)) {
-                Logger.warn(
-                        "removing backend server {}: its announcement has expired",
-                        b.announcement().id());
-                remove(b);
+    public void tick() {
+        change(callbacks -> {
+            long now = board.clock().nanoTime();
+            for (LocalBackend b : List.copyOf(backends.values())) {
+                b.tick(now);
+                if (b.isExpired(now)) {
+                    Logger.warn(
+                            "removing backend server {}: its announcement has expired",
+                            b.announcement().id());
+                    remove(b, callbacks);
+                }
             }
-        }
-        publish();
+            return publish(callbacks);
+        });
     }
 
     /** Stops new calls to all backend servers of this host. Calls in the queues still run, unlike after {@link #drain}. */
-    public synchronized void drainAll() {
-        backends.values().forEach(b -> b.health().drain(board.clock().nanoTime()));
-        publish();
+    public void drainAll() {
+        change(callbacks -> {
+            backends.values().forEach(b -> b.health().drain(board.clock().nanoTime()));
+            return publish(callbacks);
+        });
+    }
+
+    // Calls listeners of records and callers without the lock. They may wait for a lock whose owner waits for this one.
+    private boolean change(Predicate<List<Runnable>> change) {
+        List<Runnable> callbacks = new ArrayList<>();
+        boolean out;
+        synchronized (this) {
+            out = change.test(callbacks);
+        }
+        callbacks.forEach(Runnable::run);
+        return out;
     }
 
-    /** Publishes the record of this host if a description has changed. */
-    private void publish() {
+    // Publishes the record of this host and returns true if a description has changed.
+    private boolean publish(List<Runnable> callbacks) {
         long now = board.clock().nanoTime();
         List<BackendServer> current = backends.values().stream()
                 .map(b -> b.describe(now))
                 .sorted(Comparator.comparing(BackendServer::id))
                 .toList();
         if (current.equals(published)) {
-            return;
+            return false;
         }
         logEjections(current);
         published = current;
@@ -265,7 +299,8 @@
                 HostRecord.PREFIX + host,
                 (board.startMillis() << SEQUENCE_BITS) + sequence,
                 Json.write(new HostRecord(host, current)));
-        board.records().put(r);
+        callbacks.add(() -> board.records().put(r));
+        return true;
     }
 
     private void logEjections(List<BackendServer> current) {
@@ -284,10 +319,10 @@
         }
     }
 
-    private void remove(LocalBackend b) {
+    private void remove(LocalBackend b, List<Runnable> callbacks) {
         backends.remove(b.announcement().id());
         b.health().drain(board.clock().nanoTime());
-        b.queue().refuseAll(ErrorCode.NO_BACKEND);
+        callbacks.add(() -> b.queue().refuseAll(ErrorCode.NO_BACKEND));
         b.client().closeAsyncGracefully().subscribe();
     }
 
--- a/daemon/src/main/java/io/fuchsiastand/daemon/owner/OwnerService.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/owner/OwnerService.java
@@ -219,7 +219,7 @@
     private Single<FairQueue.Permit> acquireSlot(LocalBackend backend, BackendCall call) {
         SingleSource.Processor<FairQueue.Permit, FairQueue.Permit> result = newSingleProcessor();
         SlotRequest s = new SlotRequest();
-        s.removeFromQueue = backend.queue()
+        s.setRemoval(backend.queue()
                 .submit(
                         call.team(),
                         priorityOf(call),
@@ -233,7 +233,7 @@
                             logNoSlot(backend, call, code);
                             result.onError(RefusalException.notSent(
                                     code, code.title(), backend.queue().estimatedWaitMillis()));
-                        });
+                        }));
         long maxWaitNanos = (long) (MAX_QUEUE_WAIT_SHARE * (call.deadline() - clock.nanoTime()));
         return fromSource(result)
                 .beforeCancel(s::cancel)
@@ -261,30 +261,6 @@
                 backend.announcement().slots());
     }
 
-    /** Request of a call for a slot. Passes the permit to the call, or releases it if the request was cancelled. */
-    private static final class SlotRequest {
-        private volatile Runnable removeFromQueue = () -> {};
-        private FairQueue.Permit permit;
-        private boolean cancelled;
-
-        private synchronized boolean grant(FairQueue.Permit granted) {
-            if (cancelled) {
-                granted.release();
-                return false;
-            }
-            permit = granted;
-            return true;
-        }
-
-        private synchronized void cancel() {
-            cancelled = true;
-            removeFromQueue.run();
-            if (permit != null) {
-                permit.release();
-            }
-        }
-    }
-
     private Single<StreamingHttpResponse> send(LocalBackend backend, BackendCall call, FairQueue.Permit permit) {
         LocalBackend.InFlightCall c = backend.begin(permit, call);
         long left = call.deadline() - clock.nanoTime();
