--- a/daemon/src/test/java/io/fuchsiastand/daemon/RawBackendServer.java
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/RawBackendServer.java
@@ -39,6 +39,10 @@
     volatile boolean closesAfterResponse = true;
     /** Bytes that follow the response again and again until the client closes the connection; none if empty. */
     volatile String endlessBytes = "";
+    /** Bytes that precede the response to the next request on a connection that has carried a request before; none if empty. */
+    volatile String bytesBeforeNextResponse = "";
+    /** Whether it resets its connections instead of closing them. */
+    volatile boolean resetsConnections;
     /** The time in milliseconds between a request and its response. */
     volatile int delayMillis;
 
@@ -75,6 +79,7 @@
         try (socket) {
             InputStream in = new BufferedInputStream(socket.getInputStream());
             OutputStream out = socket.getOutputStream();
+            boolean first = true;
             do {
                 String request = read(in);
                 if (request.isEmpty()) {
@@ -85,6 +90,10 @@
                     events.add("closed early");
                     return;
                 }
+                if (!first) {
+                    out.write(bytesBeforeNextResponse.getBytes(StandardCharsets.ISO_8859_1));
+                }
+                first = false;
                 out.write(response.getBytes(StandardCharsets.ISO_8859_1));
                 out.flush();
                 if (!endlessBytes.isEmpty()) {
@@ -92,6 +101,9 @@
                 }
             } while (!closesAfterResponse);
             Thread.sleep(CLOSE_DELAY_MILLIS);
+            if (resetsConnections) {
+                socket.setSoLinger(true, 0);
+            }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         } catch (IOException e) {
