Close a connection after a refusal that a later request could receive

Callers of the own deployment could get 503 with run state not-run, which promises that a request has not run, for a request that the backend server ran: the backend server wrote an earlier refusal once more on a kept connection (REFUSED). The caller may send such a request again, so that it runs twice. Reported by another operator.

Cause: a connection returned to the pool after each complete answer, and an answer without an identifier belongs to the next request in order. On the platform, answers repeat the identifier of their request, and another one was already detected.

Change: after a refusal the connection is closed, unless the daemon can tell by the identifier that an answer belongs to another request. Refusals cost a new connection in the own deployment only.

Evidence: RepeatedRefusalTest of the daemon, over real sockets: a second copy that arrives together with the first did no harm before; one that arrives with the next request was answered as 503 not-run although that request ran, and passes now. RepeatedRefusalTest of the platform (429, 503, 421, and refusals without identifier, at both times) passes with the code before and after: 200 or 502, run once. HttpFramingTest and EndlessResponseTest pass.

--- a/daemon/src/main/java/io/fuchsiastand/daemon/http/HeaderConventions.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/http/HeaderConventions.java
@@ -83,6 +83,16 @@
         return requestIdHeader.isEmpty() ? null : request.get(requestIdHeader);
     }
 
+    /**
+     * Returns whether {@link #isResponseTo} can recognise that a response belongs to another request.
+     *
+     * @param id the identifier of the request, or null if it has none
+     * @return true if the request has an identifier and backend servers repeat it in their responses
+     */
+    public boolean canIdentifyResponses(CharSequence id) {
+        return backendsEchoRequestId && id != null;
+    }
+
     /**
      * Returns whether a response belongs to a request.
      *
@@ -91,7 +101,7 @@
      * @return false if backend servers must repeat the identifier and the response has another one or none
      */
     public boolean isResponseTo(CharSequence id, HttpHeaders response) {
-        if (!backendsEchoRequestId || id == null) {
+        if (!canIdentifyResponses(id)) {
             return true;
         }
         CharSequence echoedId = response.get(requestIdHeader);
--- a/daemon/src/main/java/io/fuchsiastand/daemon/owner/ConnectionUse.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/owner/ConnectionUse.java
@@ -4,14 +4,14 @@
 
 /**
  * The use of a connection by one call. When the request was sent and the response was received, both in full, the
- * connection returns to the pool, unless the backend server announced that it closes the connection. In any other case it
- * is closed, because the bytes that follow on it cannot be assigned to a call.
+ * connection returns to the pool, unless it must carry no further request. In any other case it is closed, because the bytes
+ * that follow on it cannot be assigned to a call.
  */
 final class ConnectionUse {
 
     private final ReservedStreamingHttpConnection connection;
     private boolean requestSent;
-    private boolean closeExpected;
+    private boolean reusable = true;
     private boolean ended;
 
     ConnectionUse(ReservedStreamingHttpConnection connection) {
@@ -23,9 +23,9 @@
         requestSent = true;
     }
 
-    /** Records that the backend server will close the connection. */
-    synchronized void expectClose() {
-        closeExpected = true;
+    /** Records that the connection must carry no further request, for example because the backend server will close it. */
+    synchronized void preventReuse() {
+        reusable = false;
     }
 
     /** Ends the use after a complete response: returns the connection to the pool, or closes it if it is not reusable. */
@@ -34,7 +34,7 @@
             return;
         }
         ended = true;
-        if (requestSent && !closeExpected) {
+        if (requestSent && reusable) {
             connection.releaseAsync().subscribe();
         } else {
             connection.closeAsync().subscribe();
--- a/daemon/src/main/java/io/fuchsiastand/daemon/owner/OwnerService.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/owner/OwnerService.java
@@ -310,7 +310,7 @@
                 })
                 .flatMap(r -> {
                     if (conventions.isResponseTo(requestId, r.headers())) {
-                        return succeeded(handleResponse(backend, c, r, call, use));
+                        return succeeded(handleResponse(backend, c, r, call, requestId, use));
                     }
                     use.close();
                     c.end(Outcome.FAILURE);
@@ -365,6 +365,7 @@
             LocalBackend.InFlightCall c,
             StreamingHttpResponse r,
             BackendCall call,
+            CharSequence requestId,
             ConnectionUse use) {
         HttpHeaders h = r.headers();
         boolean notRun = conventions.notRun().test(r);
@@ -372,7 +373,11 @@
         boolean shed = notRun || (status == SERVICE_UNAVAILABLE && h.contains(HeaderNames.RETRY_AFTER));
         Outcome outcome = shed ? Outcome.SHED : status >= SERVER_ERROR ? Outcome.FAILURE : Outcome.SUCCESS;
         if (String.valueOf(h.get("connection")).equalsIgnoreCase("close")) {
-            use.expectClose();
+            use.preventReuse();
+        }
+        if (notRun && !conventions.canIdentifyResponses(requestId)) {
+            // If the backend server sends this refusal once more, it must not count as the response to a later request.
+            use.preventReuse();
         }
         recordStatements(backend, r, notRun);
         HeaderNames.removeHopByHop(h);
