Ignore objects among the join records that are no join records

Here the list that machines read from the store is that of the join records, by which daemons find each other and so the backend servers.

What callers would see: a daemon that starts does not find the fleet and has no backend servers of other hosts. Cause: JoinController parsed the whole list at once and did not check what it parsed. One entry that is no JSON, is nested too deeply or has a number too large failed each round, so that the list of token issuers was not read either. A missing host ended the thread. A port out of range or an address that is none failed each tick of the gossip that probes seeds.

Change: each entry is parsed and checked alone; what is no join record is ignored and logged once.

--- a/daemon/src/main/java/io/fuchsiastand/daemon/board/Settings.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/board/Settings.java
@@ -59,7 +59,9 @@
         FleetRules rules) {
 
     private static final Duration DEFAULT_KEYS_STALE_AFTER = Duration.ofSeconds(5);
-    private static final int MAX_PORT = 65_535;
+    /** The highest port number. */
+    public static final int MAX_PORT = 65_535;
+
     private static final int MAX_SHARDS = 65_536;
     private static final int DEFAULT_SHARDS = 64;
     private static final int DEFAULT_MAX_IN_FLIGHT = 1_000;
--- a/daemon/src/main/java/io/fuchsiastand/daemon/store/JoinController.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/store/JoinController.java
@@ -1,9 +1,11 @@
 package io.fuchsiastand.daemon.store;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.UUID;
@@ -20,6 +22,7 @@
 import io.fuchsiastand.store.ObjectStore;
 import io.fuchsiastand.store.RetryingObjectStore;
 import io.fuchsiastand.store.StoredObject;
+import io.netty.util.NetUtil;
 import org.tinylog.Logger;
 
 /**
@@ -46,6 +49,8 @@
     private final Runnable storeTask;
     private final SplittableRandom random = new SplittableRandom();
     private final Set<String> removedIncarnations = new HashSet<>();
+    // The names of the objects among the join records that were no join records when the list was last read.
+    private Set<String> ignoredObjects = Set.of();
     private volatile boolean running = true;
     private volatile boolean loaded;
     private boolean recordWritten;
@@ -61,7 +66,17 @@
      * @param address the IP address of the host
      * @param peerPort the port for control traffic
      */
-    public record JoinRecord(String host, String address, int peerPort) {}
+    public record JoinRecord(String host, String address, int peerPort) {
+
+        private boolean isValid() {
+            return host != null
+                    && !host.isEmpty()
+                    && address != null
+                    && (NetUtil.isValidIpV4Address(address) || NetUtil.isValidIpV6Address(address))
+                    && peerPort >= 1
+                    && peerPort <= Settings.MAX_PORT;
+        }
+    }
 
     /**
      * Creates the controller.
@@ -198,9 +213,15 @@
     }
 
     private void readJoinRecords() {
-        List<JoinRecord> records = store.list(NAME_PREFIX).objects().stream()
-                .map(o -> Json.read(o.value(), JoinRecord.class))
-                .toList();
+        List<JoinRecord> records = new ArrayList<>();
+        Set<String> ignored = new HashSet<>();
+        for (StoredObject o : store.list(NAME_PREFIX).objects()) {
+            parse(o).ifPresentOrElse(records::add, () -> ignored.add(o.name()));
+        }
+        if (!ignored.isEmpty() && !ignored.equals(ignoredObjects)) {
+            Logger.warn("{} objects that are no join records are ignored: {}", ErrorCode.CORRUPT.code(), ignored);
+        }
+        ignoredObjects = ignored;
         recordFound = records.contains(ownRecord());
         List<Settings.Endpoint> found = records.stream()
                 .filter(j -> !j.host().equals(board.settings().host()))
@@ -213,6 +234,15 @@
         }
     }
 
+    // Returns empty for an object that is no join record, which another program may have written.
+    private static Optional<JoinRecord> parse(StoredObject o) {
+        try {
+            return Optional.ofNullable(Json.read(o.value(), JoinRecord.class)).filter(JoinRecord::isValid);
+        } catch (FuchsiastandException e) {
+            return Optional.empty();
+        }
+    }
+
     // Deletes the join records of hosts that crashed and did not return, because these cannot delete them.
     private void removeJoinRecordsOfDeadHosts() {
         long now = board.clock().nanoTime();
--- a/daemon/src/test/java/io/fuchsiastand/daemon/store/JoinControllerTest.java
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/store/JoinControllerTest.java
@@ -1,5 +1,7 @@
 package io.fuchsiastand.daemon.store;
 
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -19,6 +21,8 @@
 import io.fuchsiastand.time.ManualClock;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -31,6 +35,8 @@
     private final MemoryObjectStore objects = new MemoryObjectStore();
     private final List<String> calls = new ArrayList<>();
     private final Transport transport = new Transport(Optional.empty());
+    private GossipController gossip;
+    private int storeTaskRuns;
 
     @AfterEach
     void stop() {
@@ -68,10 +74,51 @@
                 .isEqualTo("127.0.0.1");
     }
 
+    // Guards against daemons that no longer read the list of hosts, or end, because another writer left an odd entry.
+    @ParameterizedTest
+    @MethodSource("oddRecords")
+    void probesTheOtherHostsWhenAnEntryIsOdd(String oddRecord) throws Exception {
+        objects.put("members/a", oddRecord.getBytes(StandardCharsets.UTF_8), StoredObject.ABSENT, "1");
+        try (ServerSocket peer = new ServerSocket(0)) {
+            byte[] record = Json.write(new JoinController.JoinRecord("h2", "127.0.0.1", peer.getLocalPort()));
+            objects.put("members/h2", record, StoredObject.ABSENT, "2");
+            JoinController join = startProcess();
+            join.exchangeRecords();
+            gossip.tick();
+
+            assertThat(join.isLoaded()).isTrue();
+            assertThat(storeTaskRuns).isEqualTo(1);
+            peer.setSoTimeout(5_000);
+            peer.accept().close();
+        }
+    }
+
+    private static List<String> oddRecords() {
+        String record = "{\"host\":\"h3\",\"address\":\"127.0.0.1\",\"peerPort\":%s}";
+        return List.of(
+                "",
+                "null",
+                "5",
+                "not json",
+                "{}",
+                "[".repeat(5_000) + "]".repeat(5_000),
+                "{\"x\":".repeat(10_000) + "1" + "}".repeat(10_000),
+                record.formatted("70000"),
+                record.formatted("0"),
+                record.formatted("-1"),
+                record.formatted("99999999999999999999"),
+                record.formatted("9".repeat(5_000)),
+                record.formatted("1e400"),
+                record.formatted("\"x\""),
+                "{\"host\":null,\"address\":\"127.0.0.1\",\"peerPort\":7}",
+                "{\"host\":\"h3\",\"address\":null,\"peerPort\":7}",
+                "{\"host\":\"h3\",\"address\":\"no address\",\"peerPort\":7}");
+    }
+
     private JoinController startProcess() {
         Blackboard board = new Blackboard(settings, settings.ports(), clock);
-        GossipController gossip = new GossipController(board, new Peers(transport), List::of);
-        return new JoinController(board, new CountingStore(objects, calls), gossip, () -> {});
+        gossip = new GossipController(board, new Peers(transport), List::of);
+        return new JoinController(board, new CountingStore(objects, calls), gossip, () -> storeTaskRuns++);
     }
 
     /** Records the names of the calls. */
