Refuse the JSON literal null where an object is expected

Cause: Jackson returns null for the literal, and no caller of Json.read expects it.

Ruled out: numbers that are too large, ports out of range and deep nesting in announcements at the admin port; they were refused before.

Evidence: OddAnnouncementTest over real sockets: 1 of 13 cases failed before, all pass now; JoinControllerTest passes.

--- a/core/src/main/java/io/fuchsiastand/config/Json.java
+++ b/core/src/main/java/io/fuchsiastand/config/Json.java
@@ -63,14 +63,21 @@
      * @param type the type of the value
      * @param <T> the type of the value
      * @return the value
-     * @throws FuchsiastandException with {@link ErrorCode#CORRUPT} if the bytes are not valid JSON of this type
+     * @throws FuchsiastandException with {@link ErrorCode#CORRUPT} if the bytes are not valid JSON of this type, or are the
+     *     JSON literal null
      */
     public static <T> T read(byte[] bytes, Class<T> type) {
+        T out;
         try {
-            return MAPPER.readValue(bytes, type);
+            out = MAPPER.readValue(bytes, type);
         } catch (IOException e) {
             throw new FuchsiastandException(
                     ErrorCode.CORRUPT, "the bytes are not valid JSON of type " + type.getSimpleName(), e);
         }
+        if (out == null) {
+            throw new FuchsiastandException(
+                    ErrorCode.CORRUPT, "the bytes are null instead of a " + type.getSimpleName());
+        }
+        return out;
     }
 }
--- a/daemon/src/main/java/io/fuchsiastand/daemon/store/JoinController.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/store/JoinController.java
@@ -237,7 +237,7 @@
     // Returns empty for an object that is no join record, which another program may have written.
     private static Optional<JoinRecord> parse(StoredObject o) {
         try {
-            return Optional.ofNullable(Json.read(o.value(), JoinRecord.class)).filter(JoinRecord::isValid);
+            return Optional.of(Json.read(o.value(), JoinRecord.class)).filter(JoinRecord::isValid);
         } catch (FuchsiastandException e) {
             return Optional.empty();
         }
