Read the other objects of the own store when a shard entry cannot be read

Running daemons stopped counting the platform as reached.

Cause: PlatformController ended the whole list or watch at the first shard entry that it could not read, and began again at the same one.

Change: such an entry is logged and skipped. The record store keeps its bytes, as those of any other record.

Ruled out: odd objects under members/, keys/ and config/. OddObjectTest passed for them before.

--- a/daemon/src/main/java/io/fuchsiastand/daemon/store/PlatformController.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/store/PlatformController.java
@@ -178,10 +178,22 @@
     private void applyObject(StoredObject o, long requestedAt) {
         board.putRecord(o.name(), o.version(), o.value());
         if (o.name().startsWith(ShardEntry.PREFIX) && !o.name().equals(LimitController.SHARD_COUNT_NAME)) {
-            limits.applyPlatformEntry(Json.read(o.value(), ShardEntry.class), requestedAt);
+            applyShardEntry(o, requestedAt);
         }
     }
 
+    // An entry that cannot be read must not hide the other objects.
+    private void applyShardEntry(StoredObject o, long requestedAt) {
+        ShardEntry entry;
+        try {
+            entry = Json.read(o.value(), ShardEntry.class);
+        } catch (FuchsiastandException e) {
+            Logger.warn("{} ignoring the object {}: {}", e.code().code(), o.name(), e.getMessage());
+            return;
+        }
+        limits.applyPlatformEntry(entry, requestedAt);
+    }
+
     private void fetchMissingChunks() {
         for (String name : missingChunks.get()) {
             // A daemon that is not a relay receives chunks from peers, unless the fleet has no more daemons than a data
