Go on reading the store and the configuration after any exception

The threads that read the join records and that watch the configuration ended at an exception without a code, silently: the daemon no longer followed either, until it was restarted.

Change: both threads log such an exception and try again after the usual delay, as the threads of the own deployment do.

--- a/daemon/src/main/java/io/fuchsiastand/daemon/store/ConfigurationWatch.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/store/ConfigurationWatch.java
@@ -66,6 +66,12 @@
                             "{} the configuration source failed: {}", e.code().code(), e.getMessage());
                 }
                 Pause.sleep(RetryingObjectStore.delay(Math.min(failures, maxBackoffStep()), random));
+            } catch (RuntimeException e) {
+                recordUnavailable();
+                if (failures++ == 0) {
+                    Logger.error(e, "an error in the daemon interrupted the watch of the configuration source");
+                }
+                Pause.sleep(RetryingObjectStore.delay(Math.min(failures, maxBackoffStep()), random));
             }
         }
     }
--- a/daemon/src/main/java/io/fuchsiastand/daemon/store/JoinController.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/store/JoinController.java
@@ -118,6 +118,11 @@
                             e.getMessage());
                 }
                 Pause.sleep(RetryingObjectStore.delay(Math.min(failures, 20), random));
+            } catch (RuntimeException e) {
+                if (failures++ == 0) {
+                    Logger.error(e, "an error in the daemon interrupted its work with the object store");
+                }
+                Pause.sleep(RetryingObjectStore.delay(Math.min(failures, 20), random));
             }
         }
     }
--- a/daemon/src/test/java/io/fuchsiastand/daemon/store/JoinControllerTest.java
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/store/JoinControllerTest.java
@@ -93,6 +93,21 @@
         }
     }
 
+    // Guards against a daemon that no longer reads the join records because the thread that does so has ended.
+    @Test
+    void goesOnAfterAnErrorOfTheStoreTask() {
+        JoinController[] join = new JoinController[1];
+        join[0] = startProcess(() -> {
+            if (storeTaskRuns++ == 0) {
+                throw new IllegalStateException("an error in the task");
+            }
+            join[0].stop();
+        });
+        join[0].run();
+
+        assertThat(storeTaskRuns).isEqualTo(2);
+    }
+
     private static List<String> oddRecords() {
         String record = "{\"host\":\"h3\",\"address\":\"127.0.0.1\",\"peerPort\":%s}";
         return List.of(
@@ -116,9 +131,13 @@
     }
 
     private JoinController startProcess() {
+        return startProcess(() -> storeTaskRuns++);
+    }
+
+    private JoinController startProcess(Runnable storeTask) {
         Blackboard board = new Blackboard(settings, settings.ports(), clock);
         gossip = new GossipController(board, new Peers(transport), List::of);
-        return new JoinController(board, new CountingStore(objects, calls), gossip, () -> storeTaskRuns++);
+        return new JoinController(board, new CountingStore(objects, calls), gossip, storeTask);
     }
 
     /** Records the names of the calls. */
