Apply the newest record of a host whatever order its versions arrive in

If two threads store two versions of a host record at the same time, listeners can receive the older one last. The directory then keeps it until the next change of that host: calls would go on to a backend server that is draining or gone (DRAIN). Publishing host records without a lock makes it possible for the daemon's own record too.

Change: DirectoryController applies the stored record instead of the delivered one, one at a time, and removes hosts under the same lock. No thread that holds the lock of the records or of the directory waits for it.

Evidence: DirectoryControllerTest.keepsTheNewestRecordOfAHostWhenAnOlderOneIsDeliveredLater failed before and passes now. BackendControllerTest and LeavingBackendServerTest pass.

--- a/daemon/src/main/java/io/fuchsiastand/daemon/membership/DirectoryController.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/membership/DirectoryController.java
@@ -46,7 +46,7 @@
 
     // A removed host must not count as missing capacity, and this daemon must no longer send the record of that host to
     // peers. Both calls do nothing if the host has joined again before this listener is called.
-    private void onMemberRemoved(String host) {
+    private synchronized void onMemberRemoved(String host) {
         board.directory().removeHost(host);
         board.records().removeIfRejected(HostRecord.PREFIX + host);
     }
@@ -56,12 +56,18 @@
             return;
         }
         try {
-            board.directory().update(Json.read(r.getValue().toByteArray(), HostRecord.class));
+            applyNewest(r.getName());
         } catch (FuchsiastandException e) {
             Logger.error(e, "the record {} cannot be read", r.getName());
         }
     }
 
+    // Applies the stored record and not the delivered one: listeners can receive two versions in the wrong order.
+    private synchronized void applyNewest(String name) {
+        board.records().get(name).ifPresent(r -> board.directory()
+                .update(Json.read(r.getValue().toByteArray(), HostRecord.class)));
+    }
+
     private void onMember(Member m) {
         board.directory().updateWeightsOfHost(m.host());
         if (m.state() == MemberState.DEAD || m.state() == MemberState.LEFT) {
--- a/daemon/src/test/java/io/fuchsiastand/daemon/membership/DirectoryControllerTest.java
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/membership/DirectoryControllerTest.java
@@ -43,10 +43,13 @@
     private final Membership members = board.members();
     // Called before the controller learns that a member is removed.
     private Consumer<String> onRemoved = h -> {};
+    // Called before the controller receives a record.
+    private Consumer<Record> onStored = r -> {};
 
     @BeforeEach
     void start() {
         members.listenRemoved(h -> onRemoved.accept(h));
+        board.records().listen(r -> onStored.accept(r));
         new DirectoryController(board, new Peers(transport)).start();
     }
 
@@ -103,6 +106,23 @@
         assertThat(board.records().get(HostRecord.PREFIX + "h2")).isPresent();
     }
 
+    // Guards against calls to a backend server that has left: two threads store a record, and the listeners receive the
+    // older
+    // version last (DRAIN).
+    @Test
+    void keepsTheNewestRecordOfAHostWhenAnOlderOneIsDeliveredLater() {
+        onStored = r -> {
+            if (r.getVersion() == 1) {
+                board.records()
+                        .put(RecordStore.record(
+                                HostRecord.PREFIX + "h2", 2, Json.write(new HostRecord("h2", List.of()))));
+            }
+        };
+        join("h2", 1);
+        board.records().put(hostRecord("h2", 1));
+        assertThat(board.directory().candidates("menu")).isEmpty();
+    }
+
     private interface Step {
         void run(int round);
     }
