Release closed connections of callers without waiting for the idle timeout

Cause: ConnectionGuard schedules a check of the idle time with the context of the connection, and nothing cancelled it when the connection closed. The budget of kept bodies counts only requests in flight.

Change: the checks are cancelled when the connection closes, and an earlier header check when a new one begins.

ConnectionGuardTest.schedulesNothingForAConnectionThatHasEnded was written with the fix.

--- a/daemon/src/main/java/io/fuchsiastand/daemon/http/ConnectionGuard.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/http/ConnectionGuard.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -50,6 +51,9 @@
     private long timeoutStartNanos;
     private boolean bodyIncomplete;
     private boolean headerTimeoutScheduled;
+    // The latest scheduled checks. A check keeps the connection reachable, and with it the last request and its body.
+    private Future<?> idleCheck;
+    private Future<?> headerCheck;
 
     ConnectionGuard(Supplier<RequestLimits> limits, Clock clock) {
         this.limits = limits;
@@ -173,11 +177,31 @@
             headerTimeoutScheduled = true;
             long requestStartNanos = timeoutStartNanos;
             long timeoutNanos = limits.get().headerTimeout().toNanos();
-            context.executor()
+            cancelChecks(headerCheck);
+            headerCheck = context.executor()
                     .schedule(() -> checkHeaderTimeout(context, requestStartNanos), timeoutNanos, TimeUnit.NANOSECONDS);
         }
     }
 
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        cancelChecks(idleCheck, headerCheck);
+        context.fireChannelInactive();
+    }
+
+    @Override
+    public void handlerRemoved(ChannelHandlerContext context) {
+        cancelChecks(idleCheck, headerCheck);
+    }
+
+    private static void cancelChecks(Future<?>... checks) {
+        for (Future<?> c : checks) {
+            if (c != null) {
+                c.cancel(false);
+            }
+        }
+    }
+
     private void enterPhase(Phase next) {
         if (phase != Phase.ENDED) {
             phase = next;
@@ -211,7 +235,7 @@
     }
 
     private void scheduleIdleCheck(ChannelHandlerContext context, Duration delay) {
-        context.executor().schedule(() -> checkIdle(context), delay.toNanos(), TimeUnit.NANOSECONDS);
+        idleCheck = context.executor().schedule(() -> checkIdle(context), delay.toNanos(), TimeUnit.NANOSECONDS);
     }
 
     private void checkIdle(ChannelHandlerContext context) {
--- a/daemon/src/test/java/io/fuchsiastand/daemon/UploadTest.java
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/UploadTest.java
@@ -1,6 +1,10 @@
 package io.fuchsiastand.daemon;
 
+import java.io.IOException;
+import java.net.Socket;
 import java.net.http.HttpRequest;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -11,6 +15,11 @@
 /** Tests calls with large bodies that must not run twice. */
 class UploadTest {
 
+    private static final int UPLOADS = 60;
+    private static final long UPLOAD_BYTES = 900_000;
+    // Much shorter than the idle timeout of connections.
+    private static final Duration MAX_RELEASE_TIME = Duration.ofSeconds(5);
+
     private Fleet fleet;
 
     @BeforeEach
@@ -39,4 +48,40 @@
             assertThat(fleet.send(upload).statusCode()).isEqualTo(200);
         }
     }
+
+    // Guards against a heap that fills up because the bodies of ended requests stay reachable until the idle timeout of
+    // their
+    // connections, although the callers have closed these.
+    @Test
+    void keepsNoBodiesOfConnectionsThatCallersHaveClosed() throws Exception {
+        byte[] upload = new byte[(int) UPLOAD_BYTES];
+        upload(upload);
+        long usedBefore = usedHeapBytes();
+        for (int i = 0; i < UPLOADS; i++) {
+            assertThat(upload(upload)).startsWith("HTTP/1.1 200");
+        }
+        long end = System.nanoTime() + MAX_RELEASE_TIME.toNanos();
+        long kept = usedHeapBytes() - usedBefore;
+        while (kept > UPLOADS * UPLOAD_BYTES / 4 && System.nanoTime() < end) {
+            Thread.sleep(200);
+            kept = usedHeapBytes() - usedBefore;
+        }
+        assertThat(kept).isLessThan(UPLOADS * UPLOAD_BYTES / 4);
+    }
+
+    private String upload(byte[] body) throws IOException {
+        try (Socket s = new Socket("127.0.0.1", fleet.settings.get(0).ports().callers())) {
+            s.setSoTimeout(10_000);
+            String head = "POST /menu/upload HTTP/1.1\r\nhost: any\r\nauthorization: Bearer " + Fleet.ZERMATT_KEY
+                    + "\r\ncontent-length: " + body.length + "\r\n\r\n";
+            s.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+            s.getOutputStream().write(body);
+            return new String(s.getInputStream().readNBytes(64), StandardCharsets.US_ASCII);
+        }
+    }
+
+    private static long usedHeapBytes() {
+        System.gc();
+        return Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
+    }
 }
--- a/daemon/src/test/java/io/fuchsiastand/daemon/http/ConnectionGuardTest.java
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/http/ConnectionGuardTest.java
@@ -38,6 +38,19 @@
         assertThat(written()).isEmpty();
     }
 
+    // Guards against closed connections that a scheduled check keeps in memory, with the bodies of their requests.
+    @Test
+    void schedulesNothingForAConnectionThatHasEnded() {
+        for (int i = 0; i < 2; i++) {
+            send("GET / HTTP/1.1\r\n");
+            send("host: a\r\n\r\n");
+            guard.beginRequest(false);
+            guard.endResponse();
+        }
+        channel.pipeline().fireChannelInactive();
+        assertThat(channel.runScheduledPendingTasks()).isEqualTo(-1);
+    }
+
     @Test
     void countsIdleTimeFromTheEndOfTheLastResponse() {
         advance(Duration.ofSeconds(6));
