Hand the list of token issuers over when its last host leaves

Cause: hosts leave the list of token issuers with their last backend server, and none is ever added. When the last one left, the list was empty for good, and nobody issued tokens.

Change: the last host that leaves writes a list of the next generation with the other hosts of the fleet. A daemon that finds an empty list does the same. The shares still sum to at most one: a list becomes empty only after its last host has stopped issuing, so that nobody issues by a list of an earlier generation. A later generation has a higher version and wins when the store comes back older.

Ruled out: adding hosts to a list that is not empty. A host that uses an older list would go on with its larger share.

Evidence: three tests of TokenIssuersControllerTest fail without the two calls of nextList and pass with them; the property of TokenIssuersTest holds.

--- a/core/src/main/java/io/fuchsiastand/limit/TokenIssuers.java
+++ b/core/src/main/java/io/fuchsiastand/limit/TokenIssuers.java
@@ -13,12 +13,14 @@
  *
  * <p>Hosts are only removed from the list, never added, and a host stops issuing tokens before it is removed. Therefore
  * a host that still issues tokens by an older version of the list is also an issuer by the newest version, and the
- * shares of all hosts never sum to more than one, whichever versions of the list the hosts use.
+ * shares of all hosts never sum to more than one, whichever versions of the list the hosts use. When the list is empty, no
+ * host issues tokens any more, and a list of the next generation can follow it.
  *
  * @param hosts the names of the hosts
- * @param groups the number of groups, fixed when the list is first written
+ * @param groups the number of groups, fixed when the list of a generation is first written
+ * @param generation the number of lists before this one that became empty
  */
-public record TokenIssuers(List<String> hosts, int groups) {
+public record TokenIssuers(List<String> hosts, int groups, long generation) {
 
     /**
      * Maximum number of hosts that issue the tokens of one group of teams. If some of them fail, each team of the group
@@ -38,7 +40,22 @@
      */
     public static TokenIssuers initial(List<String> hosts) {
         return new TokenIssuers(
-                hosts, Math.max(1, (hosts.size() + INITIAL_HOSTS_PER_GROUP - 1) / INITIAL_HOSTS_PER_GROUP));
+                hosts, Math.max(1, (hosts.size() + INITIAL_HOSTS_PER_GROUP - 1) / INITIAL_HOSTS_PER_GROUP), 0);
+    }
+
+    /**
+     * Creates the list of the next generation.
+     *
+     * @param nextHosts the names of the hosts of the fleet
+     * @return the list
+     * @throws IllegalStateException if this list is not empty, so that its hosts may still issue tokens
+     */
+    public TokenIssuers next(List<String> nextHosts) {
+        if (!hosts.isEmpty()) {
+            throw new IllegalStateException("the list still contains " + hosts);
+        }
+        TokenIssuers first = initial(nextHosts);
+        return new TokenIssuers(first.hosts, first.groups, generation + 1);
     }
 
     /**
@@ -48,28 +65,31 @@
      * @return the list of the other hosts
      */
     public TokenIssuers without(String host) {
-        return new TokenIssuers(hosts.stream().filter(h -> !h.equals(host)).toList(), groups);
+        return new TokenIssuers(hosts.stream().filter(h -> !h.equals(host)).toList(), groups, generation);
     }
 
     /**
-     * Removes all hosts that another list does not contain. Lists that were written independently of each other, because the
-     * store lost one of them, are merged in this way.
+     * Merges lists that were written independently of each other, because the store lost one of them. A host that either of them
+     * lacks has stopped issuing tokens, and so have all hosts of an earlier generation.
      *
      * @param other another list
-     * @return the list of the hosts that both lists contain
+     * @return the list of the later generation or, if they are of the same one, that of the hosts that both contain
      */
-    public TokenIssuers intersect(TokenIssuers other) {
-        return new TokenIssuers(hosts.stream().filter(other.hosts::contains).toList(), groups);
+    public TokenIssuers merge(TokenIssuers other) {
+        if (generation != other.generation) {
+            return generation > other.generation ? this : other;
+        }
+        return new TokenIssuers(hosts.stream().filter(other.hosts::contains).toList(), groups, generation);
     }
 
     /**
      * Returns the version of the list, by which daemons order the lists that they receive. It does not depend on the version of
      * the object in the store, which may be given out again.
      *
-     * @return a number that rises with each host that is removed
+     * @return a number that rises with each host that is removed, and with each generation
      */
     public long version() {
-        return MAX_HOSTS - hosts.size();
+        return generation * (MAX_HOSTS + 1) + MAX_HOSTS - hosts.size();
     }
 
     /**
--- a/daemon/src/main/java/io/fuchsiastand/daemon/store/TokenIssuersController.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/store/TokenIssuersController.java
@@ -65,12 +65,12 @@
     }
 
     /**
-     * Reads the list, or creates it if the store has none and this daemon is selected to do so. When the store has come back with
-     * older objects, the selected daemon writes the list again. May block.
+     * Reads the list, or creates it if the store has none or an empty one and this daemon is selected to do so. When the store has
+     * come back with older objects, the selected daemon writes the list again. May block.
      */
     public void tick() {
         Optional<TokenIssuers> known = knownList();
-        if (known.isPresent()) {
+        if (known.isPresent() && !known.get().hosts().isEmpty()) {
             if (store.era() != listEra && isCreator()) {
                 restore(known.get());
             }
@@ -81,13 +81,14 @@
             store.get(LIST_NAME).ifPresent(this::putRecord);
             storeRead = true;
         } else if (board.clock().nanoTime() - startNanos >= CREATION_DELAY.toNanos() && isCreator()) {
-            create();
+            create(known);
         }
     }
 
     /**
-     * Removes this host from the list for good, so that the remaining hosts issue its share as well. This host stops
-     * issuing tokens before other hosts can receive the new list, so the shares never sum to more than one. If each of
+     * Removes this host from the list for good, so that the remaining hosts issue its share as well, or the other hosts of the
+     * fleet if it is the last one of the list. This host stops issuing tokens before other hosts can receive the new list, so the
+     * shares never sum to more than one. If each of
      * {@code MAX_WRITE_TRIES} writes conflicts with that of another host, this method gives up without an error, and the
      * share of this host is then not issued. May block.
      */
@@ -100,7 +101,9 @@
                 return;
             }
             TokenIssuers stored = read(o.value());
-            if (tryWrite(knownList().map(stored::intersect).orElse(stored).without(self), o.version())) {
+            TokenIssuers remaining =
+                    knownList().map(stored::merge).orElse(stored).without(self);
+            if (tryWrite(remaining.hosts().isEmpty() ? nextList(remaining) : remaining, o.version())) {
                 return;
             }
         }
@@ -111,9 +114,8 @@
     private void restore(TokenIssuers known) {
         long era = store.era();
         StoredObject o = store.get(LIST_NAME).orElse(null);
-        TokenIssuers merged = o == null ? known : known.intersect(read(o.value()));
-        boolean complete =
-                o != null && read(o.value()).hosts().size() == merged.hosts().size();
+        TokenIssuers merged = o == null ? known : known.merge(read(o.value()));
+        boolean complete = o != null && read(o.value()).version() == merged.version();
         if (complete || tryWrite(merged, o == null ? StoredObject.ABSENT : o.version())) {
             listEra = era;
         }
@@ -142,14 +144,38 @@
         return Json.read(value, TokenIssuers.class);
     }
 
-    private void create() {
-        List<String> hosts =
-                board.members().reachable().stream().map(Member::host).sorted().toList();
-        if (!tryWrite(TokenIssuers.initial(hosts), StoredObject.ABSENT)) {
+    private void create(Optional<TokenIssuers> known) {
+        StoredObject o = store.get(LIST_NAME).orElse(null);
+        Optional<TokenIssuers> last = o == null
+                ? known
+                : Optional.of(known.map(k -> k.merge(read(o.value()))).orElse(read(o.value())));
+        if (last.isPresent() && !last.get().hosts().isEmpty()) {
+            putRecord(o);
+            return;
+        }
+        TokenIssuers list = last.map(this::nextList).orElse(TokenIssuers.initial(reachableHosts()));
+        if (!tryWrite(list, o == null ? StoredObject.ABSENT : o.version())) {
             store.get(LIST_NAME).ifPresent(this::putRecord);
         }
     }
 
+    // The list stays empty if no host remains that could issue tokens.
+    private TokenIssuers nextList(TokenIssuers empty) {
+        List<String> hosts = reachableHosts();
+        return hosts.isEmpty() ? empty : empty.next(hosts);
+    }
+
+    // Without this host if it is about to leave.
+    private List<String> reachableHosts() {
+        boolean leaving = board.lifecycle().get() == Lifecycle.LEAVING;
+        String self = board.settings().host();
+        return board.members().reachable().stream()
+                .map(Member::host)
+                .filter(h -> !leaving || !h.equals(self))
+                .sorted()
+                .toList();
+    }
+
     private void putRecord(StoredObject o) {
         board.putRecord(LIST_NAME, read(o.value()).version(), o.value());
     }
--- a/daemon/src/test/java/io/fuchsiastand/daemon/store/TokenIssuersControllerTest.java
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/store/TokenIssuersControllerTest.java
@@ -5,9 +5,13 @@
 
 import io.fuchsiastand.config.Json;
 import io.fuchsiastand.daemon.board.Blackboard;
+import io.fuchsiastand.daemon.board.Lifecycle;
 import io.fuchsiastand.daemon.board.Settings;
 import io.fuchsiastand.daemon.board.TestSettings;
 import io.fuchsiastand.limit.TokenIssuers;
+import io.fuchsiastand.membership.Member;
+import io.fuchsiastand.protocol.MemberState;
+import io.fuchsiastand.replication.RecordStore;
 import io.fuchsiastand.standin.MemoryObjectStore;
 import io.fuchsiastand.store.StoredObject;
 import io.fuchsiastand.time.ManualClock;
@@ -116,6 +120,83 @@
         assertThat(recordVersion()).isGreaterThan(known);
     }
 
+    // Guards against a fleet that refuses everything once all its first hosts have been replaced (RECOVER).
+    @Test
+    void listsTheHostsOfTheFleetAgainAfterTheLastHostOfTheListHasLeft() {
+        write(List.of("h0"), write(List.of("h0"), StoredObject.ABSENT));
+        controller.start();
+        controller.tick();
+        long known = recordVersion();
+        long left = store.get(TokenIssuersController.LIST_NAME).orElseThrow().version();
+        store.put(
+                TokenIssuersController.LIST_NAME,
+                Json.write(TokenIssuers.initial(List.of("h0")).without("h0")),
+                left,
+                "left");
+        board.records()
+                .put(RecordStore.record(
+                        TokenIssuersController.LIST_NAME,
+                        known + 1,
+                        store.get(TokenIssuersController.LIST_NAME)
+                                .orElseThrow()
+                                .value()));
+        clock.advance(Duration.ofSeconds(5));
+        controller.tick();
+
+        assertThat(hosts()).containsExactly("h1");
+        assertThat(share).isEqualTo(1);
+        assertThat(recordVersion()).isGreaterThan(known + 1);
+    }
+
+    @Test
+    void handsTheListOverToTheOtherHostsOfTheFleetWhenItsLastHostLeaves() {
+        write(List.of("h1"), StoredObject.ABSENT);
+        controller.start();
+        controller.tick();
+        for (String host : List.of("h2", "h3")) {
+            board.members()
+                    .apply(List.of(new Member(host, "127.0.0.1", 1, 2, "zurich", 1, MemberState.ALIVE, clock.nanoTime())
+                            .toUpdate()));
+        }
+        long known = recordVersion();
+        board.lifecycle().set(Lifecycle.LEAVING);
+        controller.leave();
+
+        assertThat(hosts()).containsExactly("h2", "h3");
+        assertThat(share).isEqualTo(0);
+        assertThat(recordVersion()).isGreaterThan(known);
+    }
+
+    // Guards against the same fault when all processes end and none knows the list any more.
+    @Test
+    void listsTheHostsOfTheFleetWhenTheStoreHoldsAnEmptyList() {
+        write(List.of(), StoredObject.ABSENT);
+        controller.start();
+        controller.tick();
+        clock.advance(Duration.ofSeconds(5));
+        controller.tick();
+
+        assertThat(hosts()).containsExactly("h1");
+        assertThat(share).isEqualTo(1);
+    }
+
+    // Guards against a list of hosts that no longer issue tokens, which returns when the store comes back older.
+    @Test
+    void keepsTheLaterListWhenTheStoreComesBackWithOneWhoseHostsHaveAllLeft() {
+        long first = write(List.of("h0"), StoredObject.ABSENT);
+        store.makeCopy();
+        TokenIssuers later = TokenIssuers.initial(List.of("h0")).without("h0").next(List.of("h1", "h2"));
+        store.put(TokenIssuersController.LIST_NAME, Json.write(later), first, "later");
+        controller.start();
+        controller.tick();
+        assertThat(share).isEqualTo(0.5);
+
+        store.restoreCopy();
+        controller.tick();
+        assertThat(hosts()).containsExactly("h1", "h2");
+        assertThat(share).isEqualTo(0.5);
+    }
+
     private long recordVersion() {
         return board.records()
                 .get(TokenIssuersController.LIST_NAME)
