Forward a body when Connection names the field that frames it

Cause: the fields that Connection names were removed before the dispatcher asked for a body. Content-Length was exempt, Transfer-Encoding was not.

Change: neither is removed.

Evidence: HttpFramingTest.forwardsTheBodyWhenConnectionNamesTheFieldThatFramesIt failed in two of three cases before and passes now. Responses with such fields were forwarded whole before too, as a test in the other direction shows.

--- a/daemon/src/main/java/io/fuchsiastand/daemon/http/HeaderNames.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/http/HeaderNames.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.OptionalDouble;
+import java.util.Set;
 
 import io.servicetalk.http.api.HttpHeaders;
 
@@ -92,6 +93,9 @@
             "proxy-authorization",
             "expect");
 
+    // These fields frame the body, which is forwarded. It would be lost if they were removed because Connection names them.
+    private static final Set<String> FRAMING = Set.of("content-length", "transfer-encoding");
+
     private HeaderNames() {}
 
     /**
@@ -107,7 +111,7 @@
             }
         });
         connectionOptions.stream()
-                .filter(n -> !n.isEmpty() && !n.equals("content-length"))
+                .filter(n -> !n.isEmpty() && !FRAMING.contains(n))
                 .forEach(headers::remove);
         HOP_BY_HOP.forEach(headers::remove);
     }
--- a/daemon/src/test/java/io/fuchsiastand/daemon/HttpFramingTest.java
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/HttpFramingTest.java
@@ -234,6 +234,34 @@
         assertThat(response).contains("x-sum: 42");
     }
 
+    // Guards against a request that runs with an empty body because Connection names the field that frames the body
+    // (UNASKED).
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "connection: transfer-encoding\r\ntransfer-encoding: chunked\r\n\r\n5\r\nsugar\r\n0\r\n\r\n",
+                "connection: close, Transfer-Encoding\r\ntransfer-encoding: chunked\r\n\r\n5\r\nsugar\r\n0\r\n\r\n",
+                "connection: content-length\r\ncontent-length: 5\r\n\r\nsugar"
+            })
+    void forwardsTheBodyWhenConnectionNamesTheFieldThatFramesIt(String fieldsAndBody) throws Exception {
+        String response = exchange("POST /menu HTTP/1.1\r\n" + HOST_AND_CLOSE + AUTH + fieldsAndBody);
+        assertThat(response).startsWith("HTTP/1.1 200");
+        assertThat(backend.events.get(0)).contains("sugar");
+    }
+
+    // Guards against the same fault in the other direction (MIXED).
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "connection: transfer-encoding\r\ntransfer-encoding: chunked\r\n\r\n5\r\ncandy\r\n0\r\n\r\n",
+                "connection: content-length\r\ncontent-length: 5\r\n\r\ncandy"
+            })
+    void forwardsTheBodyOfAResponseWhenConnectionNamesTheFieldThatFramesIt(String fieldsAndBody) throws Exception {
+        backend.response = "HTTP/1.1 200 OK\r\n" + fieldsAndBody;
+        assertThat(exchange("GET /menu HTTP/1.1\r\n" + HOST_AND_CLOSE + AUTH + "\r\n"))
+                .contains("candy");
+    }
+
     @Test
     void neverForwardsATruncatedResponseAsComplete() throws Exception {
         backend.response = "HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\nhalf";
