Compare the path prefixes of the platform literally

Cause: routes are compared by decoded segments without empty ones. The platform takes the longest prefix that begins the path.

Change: a route says how its prefix is compared, and the platform's routes are literal. In the own deployment routes are compared by segments as before, so that a path cannot evade a route that needs a key by another spelling.

ConfigurationTranslatorTest and PlatformDaemonTest pass.

--- a/core/src/main/java/io/fuchsiastand/routing/RequestPath.java
+++ b/core/src/main/java/io/fuchsiastand/routing/RequestPath.java
@@ -8,14 +8,15 @@
 import io.fuchsiastand.error.FuchsiastandException;
 
 /**
- * The segments of a request path, percent-decoded and without empty segments, for comparison with routes. Paths that a
- * backend server could interpret differently from the route table are refused, because the route decides which callers
+ * A request path for comparison with routes: as it was sent, and its segments, percent-decoded and without empty ones. Paths that
+ * a backend server could interpret differently from the route table are refused, because the route decides which callers
  * are allowed.
  *
+ * @param raw the path as it was sent
  * @param segments the decoded segments
  * @param endsWithSlash whether the path ends with a slash
  */
-public record RequestPath(List<String> segments, boolean endsWithSlash) {
+public record RequestPath(String raw, List<String> segments, boolean endsWithSlash) {
 
     private static final int MAX_SEGMENTS = 256;
 
@@ -45,7 +46,7 @@
         if (out.size() > MAX_SEGMENTS) {
             throw badPath("the path has more than " + MAX_SEGMENTS + " segments");
         }
-        return new RequestPath(out, raw.endsWith("/"));
+        return new RequestPath(raw, out, raw.endsWith("/"));
     }
 
     private static String decodeSegment(String raw) {
--- a/core/src/main/java/io/fuchsiastand/routing/RouteTable.java
+++ b/core/src/main/java/io/fuchsiastand/routing/RouteTable.java
@@ -7,19 +7,20 @@
 import java.util.Optional;
 
 import io.fuchsiastand.config.Configuration;
+import io.fuchsiastand.config.PathMatch;
 import io.fuchsiastand.config.Route;
 import io.fuchsiastand.config.Service;
 
 /**
- * Finds the route of a request: the route with the longest matching path prefix, compared by whole segments. Routes for
- * the host of the request take precedence over routes for any host. The cost of a lookup grows with the length of the
+ * Finds the route of a request: the route with the longest matching path prefix, compared as its route says. Routes for the
+ * host of the request take precedence over routes for any host. The cost of a lookup grows with the length of the
  * path, not with the number of routes.
  *
  * <p>Immutable.
  */
 public final class RouteTable {
 
-    private final Map<String, Node> hosts = new HashMap<>();
+    private final Map<String, HostRoutes> hosts = new HashMap<>();
 
     /**
      * Creates the table of the routes of a configuration.
@@ -49,10 +50,33 @@
         return Optional.ofNullable(find(hosts.get(Route.ANY_HOST), path));
     }
 
-    private static RouteMatch find(Node root, RequestPath path) {
+    private static RouteMatch find(HostRoutes routes, RequestPath path) {
+        if (routes == null) {
+            return null;
+        }
+        RouteMatch literal = findLiteral(routes.literalPrefixes, path.raw());
+        RouteMatch bySegments = findBySegments(routes.root, path);
+        boolean preferLiteral = literal != null
+                && (bySegments == null
+                        || literal.route().path().length()
+                                >= bySegments.route().path().length());
+        return preferLiteral ? literal : bySegments;
+    }
+
+    private static RouteMatch findLiteral(Map<String, RouteMatch> prefixes, String path) {
+        RouteMatch found = null;
+        for (int i = path.lastIndexOf('/');
+                found == null && i >= 0 && !prefixes.isEmpty();
+                i = path.lastIndexOf('/', i - 1)) {
+            found = prefixes.get(path.substring(0, i + 1));
+        }
+        return found;
+    }
+
+    private static RouteMatch findBySegments(Node root, RequestPath path) {
         List<String> segments = path.segments();
         Node n = root;
-        RouteMatch best = n == null ? null : n.best(segments.isEmpty() && !path.endsWithSlash());
+        RouteMatch best = n.best(segments.isEmpty() && !path.endsWithSlash());
         for (int i = 0; n != null && i < segments.size(); i++) {
             n = n.children.get(segments.get(i));
             if (n != null) {
@@ -64,7 +88,12 @@
     }
 
     private void insert(Service service, Route route) {
-        Node n = hosts.computeIfAbsent(route.host(), k -> new Node());
+        HostRoutes routes = hosts.computeIfAbsent(route.host(), k -> new HostRoutes());
+        if (route.match() == PathMatch.LITERAL && route.path().endsWith("/")) {
+            routes.literalPrefixes.put(route.path(), new RouteMatch(service, route));
+            return;
+        }
+        Node n = routes.root;
         for (String s : RequestPath.parse(route.path()).segments()) {
             n = n.children.computeIfAbsent(s, k -> new Node());
         }
@@ -76,6 +105,13 @@
         }
     }
 
+    /** The routes of a host. */
+    private static final class HostRoutes {
+        private final Map<String, RouteMatch> literalPrefixes = new HashMap<>();
+        // The routes that are compared by segments.
+        private final Node root = new Node();
+    }
+
     /** One path segment in the prefix tree of a host. */
     private static final class Node {
         private final Map<String, Node> children = new HashMap<>(4);
--- a/daemon/src/main/java/io/fuchsiastand/daemon/http/HeaderNames.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/http/HeaderNames.java
@@ -93,7 +93,8 @@
             "proxy-authorization",
             "expect");
 
-    // These fields frame the body, which is forwarded. It would be lost if they were removed because Connection names them.
+    // These fields frame the body, which is forwarded. It would be lost if they were removed because Connection names
+    // them.
     private static final Set<String> FRAMING = Set.of("content-length", "transfer-encoding");
 
     private HeaderNames() {}
