Answer 503 while a daemon without a configuration drains

Cause: requests are refused with 503 in the states STARTING and LEAVING. SIGTERM sets DRAINING, in which requests are still served, also where there is no configuration yet and so no route.

Change: a daemon without a configuration answers 503 in each state.

Evidence: DrainWithoutConfigurationTest got 404 after the drain had begun before, and 503 until the daemon has left now.

--- a/daemon/src/main/java/io/fuchsiastand/daemon/edge/CallerService.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/edge/CallerService.java
@@ -169,8 +169,13 @@
         if (inFlight.get() > board.settings().maxInFlight()) {
             return failed(RefusalException.notRun(ErrorCode.OVERLOADED, ErrorCode.OVERLOADED.title(), 1000));
         }
-        RequestCheck.check(request);
         ActiveConfiguration active = board.configuration().get();
+        if (active.configuration().version() == 0) {
+            // A daemon that drains before it has received a configuration does not know which routes there are.
+            return failed(
+                    RefusalException.notRun(ErrorCode.NOT_READY, ErrorCode.NOT_READY.title(), RETRY_AFTER_MILLIS));
+        }
+        RequestCheck.check(request);
         RequestCheck.checkSize(request, active.configuration().limits());
         RouteMatch match = active.routes()
                 .find(hostOf(request), RequestPath.parse(request.rawPath()))
