Remember across a restart which backend servers have left

Requests reached a backend server up to 9 s after its daemon had acknowledged that it was gone: the daemon restarted, and then took an announcement that had been sent before and arrived late for that of a new process. The same holds for one that had announced that it drains.

Cause: which processes have left was known to the process of the daemon alone.

Change: a daemon publishes the departures of its backend servers in a record of their own, which peers keep and send to its next process. Peers take such a process out of rotation for good; the next process of the daemon removes it and ignores its announcements. A process is known by its start time, so that a later one of the same name is not affected. Without a start time (own deployment) nothing changes.

Ruled out: the sequence number, which starts anew with each process, and the time of arrival, as announcements can be late by any time.

If all processes of the fleet end at the same time, the record is lost.

--- a/core/src/main/java/io/fuchsiastand/routing/ServiceDirectory.java
+++ b/core/src/main/java/io/fuchsiastand/routing/ServiceDirectory.java
@@ -1,6 +1,7 @@
 package io.fuchsiastand.routing;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -55,6 +56,16 @@
         }
     };
 
+    // Processes that have left, the oldest first.
+    private final Set<ProcessKey> departed = Collections.newSetFromMap(new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<ProcessKey, Boolean> eldest) {
+            return size() > MAX_REMOVED;
+        }
+    });
+
     private record ProcessKey(String host, String id, long incarnation) {}
 
     /**
@@ -122,6 +133,20 @@
         updateWeights(c.server().service());
     }
 
+    /**
+     * Takes the backend servers that have left, or are about to, out of rotation for good, as {@link #recordLeaving} does.
+     *
+     * @param departures the record of a host
+     */
+    public synchronized void recordDepartures(Departures departures) {
+        for (Departures.Process p : departures.processes()) {
+            departed.add(new ProcessKey(departures.host(), p.id(), p.incarnation()));
+            find(departures.host(), p.id())
+                    .filter(c -> c.server().incarnation() == p.incarnation())
+                    .ifPresent(this::recordLeaving);
+        }
+    }
+
     /**
      * Removes a host that left the fleet for good, with its backend servers. Does nothing if the host is a member of the
      * fleet, because it has joined again.
@@ -272,11 +297,16 @@
     }
 
     private Candidate restoreOrCreate(String host, BackendServer s) {
-        Candidate c = removed.remove(new ProcessKey(host, s.id(), s.incarnation()));
+        ProcessKey key = new ProcessKey(host, s.id(), s.incarnation());
+        Candidate c = removed.remove(key);
         if (c == null || !isSameProcess(c.server(), s)) {
-            return new Candidate(host, s);
+            c = new Candidate(host, s);
+        } else {
+            c.setServer(s);
+        }
+        if (departed.contains(key)) {
+            c.recordLeaving();
         }
-        c.setServer(s);
         return c;
     }
 
--- a/daemon/src/main/java/io/fuchsiastand/daemon/Daemon.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/Daemon.java
@@ -252,6 +252,7 @@
         configuration.start();
         new KeyController(board).start();
         new DirectoryController(board, peers).start();
+        backends.start();
         limits.start();
         tokenIssuers.start();
         metrics.registerGauge("fuchsiastand_in_flight", callerService::inFlight);
--- a/daemon/src/main/java/io/fuchsiastand/daemon/board/Blackboard.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/board/Blackboard.java
@@ -23,7 +23,7 @@
  *   <li>time of the last contact: GossipController for peers, PlatformController or ConfigurationWatch for the platform
  *   <li>records: GossipController for records from peers; PlatformController, ShardTableWriter, ShardTakeover and
  *       TokenIssuersController for objects of the platform; ConfigurationWatch for the configuration of an external
- *       source; BackendController for the record of this host; AdminService for withdrawals of keys. The record store
+ *       source; BackendController for the records of this host; AdminService for withdrawals of keys. The record store
  *       keeps the higher version of a record. DirectoryController and ConfigurationController remove records.
  *   <li>directory: DirectoryController, and ConfigurationController when the configuration changes
  * </ul>
--- a/daemon/src/main/java/io/fuchsiastand/daemon/membership/DirectoryController.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/membership/DirectoryController.java
@@ -7,6 +7,7 @@
 import io.fuchsiastand.membership.Member;
 import io.fuchsiastand.protocol.MemberState;
 import io.fuchsiastand.protocol.Record;
+import io.fuchsiastand.routing.Departures;
 import io.fuchsiastand.routing.HostRecord;
 import org.tinylog.Logger;
 
@@ -31,17 +32,20 @@
     }
 
     /**
-     * Registers listeners for records and members, and a filter that rejects host records of hosts that are not members.
+     * Registers listeners for records and members, and a filter that rejects records about hosts that are not members.
      */
     public void start() {
         board.records().listen(this::onRecord);
         board.members().listen(this::onMember);
         board.members().listenRemoved(this::onMemberRemoved);
         board.records()
-                .setNameFilter(n -> !n.startsWith(HostRecord.PREFIX)
-                        || board.members()
-                                .find(n.substring(HostRecord.PREFIX.length()))
-                                .isPresent());
+                .setNameFilter(n -> isMemberOrOther(n, HostRecord.PREFIX) && isMemberOrOther(n, Departures.PREFIX));
+    }
+
+    // Returns false for a record of this prefix about a host that is no member.
+    private boolean isMemberOrOther(String name, String prefix) {
+        return !name.startsWith(prefix)
+                || board.members().find(name.substring(prefix.length())).isPresent();
     }
 
     // A removed host must not count as missing capacity, and this daemon must no longer send the record of that host to
@@ -49,14 +53,16 @@
     private synchronized void onMemberRemoved(String host) {
         board.directory().removeHost(host);
         board.records().removeIfRejected(HostRecord.PREFIX + host);
+        board.records().removeIfRejected(Departures.PREFIX + host);
     }
 
     private void onRecord(Record r) {
-        if (!r.getName().startsWith(HostRecord.PREFIX)) {
-            return;
-        }
         try {
-            applyNewest(r.getName());
+            if (r.getName().startsWith(HostRecord.PREFIX)) {
+                applyNewest(r.getName());
+            } else if (r.getName().startsWith(Departures.PREFIX)) {
+                board.directory().recordDepartures(Json.read(r.getValue().toByteArray(), Departures.class));
+            }
         } catch (FuchsiastandException e) {
             Logger.error(e, "the record {} cannot be read", r.getName());
         }
--- a/daemon/src/main/java/io/fuchsiastand/daemon/owner/BackendController.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/owner/BackendController.java
@@ -15,10 +15,12 @@
 import io.fuchsiastand.daemon.board.Blackboard;
 import io.fuchsiastand.daemon.http.Transport;
 import io.fuchsiastand.error.ErrorCode;
+import io.fuchsiastand.error.FuchsiastandException;
 import io.fuchsiastand.protocol.Record;
 import io.fuchsiastand.replication.RecordStore;
 import io.fuchsiastand.routing.BackendServer;
 import io.fuchsiastand.routing.BackendState;
+import io.fuchsiastand.routing.Departures;
 import io.fuchsiastand.routing.HostRecord;
 import org.tinylog.Logger;
 
@@ -37,14 +39,11 @@
     private final Transport transport;
     private final Map<String, LocalBackend> backends = new ConcurrentHashMap<>();
     // The start time of each unregistered process by the name of its backend server, the oldest entry first.
-    private final Map<String, Long> unregistered = new LinkedHashMap<>() {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
-            return size() > MAX_UNREGISTERED;
-        }
-    };
+    private final Map<String, Long> unregistered = newBoundedMap();
+    // The same for the processes that have left or are about to, as far as they have a start time. Published to the
+    // fleet.
+    private final Map<String, Long> departed = newBoundedMap();
+    private long departuresVersion;
     private List<BackendServer> published = List.of();
     private long sequence;
 
@@ -59,6 +58,52 @@
         this.transport = transport;
     }
 
+    private static Map<String, Long> newBoundedMap() {
+        return new LinkedHashMap<>() {
+            private static final long serialVersionUID = 1L;
+
+            @Override
+            protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
+                return size() > MAX_UNREGISTERED;
+            }
+        };
+    }
+
+    /** Starts to listen for the departures that an earlier process of this daemon published. Peers send them. */
+    public void start() {
+        String name = Departures.PREFIX + board.settings().host();
+        board.records().listen(r -> {
+            if (!r.getName().equals(name)) {
+                return;
+            }
+            try {
+                adoptDepartures(r);
+            } catch (FuchsiastandException e) {
+                Logger.error(e, "the record {} cannot be read", name);
+            }
+        });
+    }
+
+    private void adoptDepartures(Record r) {
+        List<Departures.Process> processes =
+                Json.read(r.getValue().toByteArray(), Departures.class).processes();
+        change(callbacks -> {
+            departuresVersion = Math.max(departuresVersion, r.getVersion());
+            for (Departures.Process p : processes) {
+                if (departed.getOrDefault(p.id(), 0L) < p.incarnation()) {
+                    departed.put(p.id(), p.incarnation());
+                    unregistered.merge(p.id(), p.incarnation(), Math::max);
+                    LocalBackend b = backends.get(p.id());
+                    if (b != null && b.announcement().born() <= p.incarnation()) {
+                        remove(b, callbacks);
+                        Logger.info("backend server {} had left before this daemon started", p.id());
+                    }
+                }
+            }
+            return publish(callbacks);
+        });
+    }
+
     /**
      * Finds a backend server of this host.
      *
@@ -124,6 +169,7 @@
         Logger.info("added backend server {} of service {}, born {}", a.id(), a.service(), a.born());
         if (a.draining()) {
             added.health().drain(board.clock().nanoTime());
+            recordDeparture(a.id(), a.born(), callbacks);
         }
         publish(callbacks);
         return true;
@@ -187,6 +233,7 @@
     }
 
     private void stopNewCalls(LocalBackend b, List<Runnable> callbacks) {
+        recordDeparture(b.announcement().id(), b.announcement().born(), callbacks);
         b.health().drain(board.clock().nanoTime());
         callbacks.add(() -> b.queue().refuseAll(ErrorCode.NO_BACKEND));
         publish(callbacks);
@@ -220,7 +267,9 @@
         if (b != null && born != 0 && b.announcement().born() > born) {
             return false;
         }
-        unregistered.put(id, b == null ? born : b.announcement().born());
+        long departedBorn = b == null ? born : b.announcement().born();
+        unregistered.put(id, departedBorn);
+        recordDeparture(id, departedBorn, callbacks);
         if (b == null) {
             return false;
         }
@@ -270,6 +319,22 @@
         });
     }
 
+    // Without a start time, a process cannot be told from the next one of the same name.
+    private void recordDeparture(String id, long born, List<Runnable> callbacks) {
+        if (born == 0 || departed.getOrDefault(id, 0L) >= born) {
+            return;
+        }
+        departed.put(id, born);
+        departuresVersion = Math.max(departuresVersion + 1, board.startMillis() << SEQUENCE_BITS);
+        String host = board.settings().host();
+        List<Departures.Process> processes = departed.entrySet().stream()
+                .map(e -> new Departures.Process(e.getKey(), e.getValue()))
+                .toList();
+        Record r = RecordStore.record(
+                Departures.PREFIX + host, departuresVersion, Json.write(new Departures(host, processes)));
+        callbacks.add(() -> board.records().put(r));
+    }
+
     // Calls listeners of records and callers without the lock. They may wait for a lock whose owner waits for this one.
     private boolean change(Predicate<List<Runnable>> change) {
         List<Runnable> callbacks = new ArrayList<>();
--- a/daemon/src/test/java/io/fuchsiastand/daemon/membership/DirectoryControllerTest.java
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/membership/DirectoryControllerTest.java
@@ -5,6 +5,8 @@
 import java.lang.management.ThreadMXBean;
 import java.util.List;
 import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -22,6 +24,7 @@
 import io.fuchsiastand.replication.RecordStore;
 import io.fuchsiastand.routing.BackendServer;
 import io.fuchsiastand.routing.BackendState;
+import io.fuchsiastand.routing.Departures;
 import io.fuchsiastand.routing.HostRecord;
 import io.fuchsiastand.time.ManualClock;
 import org.junit.jupiter.api.AfterEach;
@@ -123,6 +126,23 @@
         assertThat(board.directory().candidates("menu")).isEmpty();
     }
 
+    // Guards against calls to a backend server that has left, because its daemon restarted and announces it again
+    // (DRAIN).
+    @Test
+    void picksNoBackendServerThatHasLeftWhenItsHostAnnouncesItAgain() {
+        join("h2", 1);
+        board.records().put(hostRecord("h2", 1));
+        assertThat(board.directory().pick("menu", Set.of(), new Random(1))).isPresent();
+        Departures departures = new Departures("h2", List.of(new Departures.Process("menu-1", 1)));
+        board.records().put(RecordStore.record(Departures.PREFIX + "h2", 1, Json.write(departures)));
+        assertThat(board.directory().pick("menu", Set.of(), new Random(1))).isEmpty();
+
+        board.records()
+                .put(RecordStore.record(HostRecord.PREFIX + "h2", 2, Json.write(new HostRecord("h2", List.of()))));
+        board.records().put(hostRecord("h2", 3));
+        assertThat(board.directory().pick("menu", Set.of(), new Random(1))).isEmpty();
+    }
+
     private interface Step {
         void run(int round);
     }
--- a/daemon/src/test/java/io/fuchsiastand/daemon/owner/BackendControllerTest.java
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/owner/BackendControllerTest.java
@@ -8,10 +8,14 @@
 import io.fuchsiastand.daemon.board.Settings;
 import io.fuchsiastand.daemon.board.TestSettings;
 import io.fuchsiastand.daemon.http.Transport;
+import io.fuchsiastand.protocol.Record;
 import io.fuchsiastand.queue.FairQueue;
+import io.fuchsiastand.routing.Departures;
 import io.fuchsiastand.time.ManualClock;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -55,6 +59,40 @@
         assertThat(lockHeld).containsExactly(false);
     }
 
+    // Guards against calls to a backend server that has left, because the daemon restarts and then receives an
+    // announcement that
+    // was sent before (DRAIN).
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void ignoresALateAnnouncementOfABackendServerThatLeftBeforeARestart(boolean unregistered) {
+        announce(1000, 5);
+        if (unregistered) {
+            backends.unregister(ID, 1000);
+        } else {
+            backends.drain(ID);
+        }
+        Record departures =
+                board.records().get(Departures.PREFIX + settings.host()).orElseThrow();
+
+        Blackboard restarted = new Blackboard(settings, settings.ports(), clock);
+        BackendController next = new BackendController(restarted, transport);
+        next.start();
+        LocalBackend.Announcement late = announcement(1000, 4);
+        assertThat(next.announce(late)).isTrue();
+        restarted.records().put(departures);
+        assertThat(next.find(ID)).isEmpty();
+        assertThat(next.announce(late)).isFalse();
+        assertThat(next.announce(announcement(2000, 1))).isTrue();
+
+        next.unregister(ID, 2000);
+        assertThat(restarted
+                        .records()
+                        .get(Departures.PREFIX + settings.host())
+                        .orElseThrow()
+                        .getVersion())
+                .isGreaterThan(departures.getVersion());
+    }
+
     @Test
     void runsTheNextCallWithoutHoldingTheLockOfACancelledOne() {
         List<Boolean> lockHeld = new ArrayList<>();
@@ -75,6 +113,14 @@
     }
 
     private void announce() {
-        backends.announce(LocalBackend.Announcement.of(ID, "menu", "127.0.0.1", 7501, 1, 10));
+        announce(0, 0);
+    }
+
+    private void announce(long born, long sequence) {
+        backends.announce(announcement(born, sequence));
+    }
+
+    private static LocalBackend.Announcement announcement(long born, long sequence) {
+        return new LocalBackend.Announcement(ID, "menu", "127.0.0.1", 7501, 1, 10, false, born, sequence);
     }
 }
