Correct a comment on the removal of a host

It spoke of both calls, and there are three since departures are records of their own. No code changes; the format and style checks, DirectoryControllerTest and BackendControllerTest pass.

--- a/daemon/src/main/java/io/fuchsiastand/daemon/membership/DirectoryController.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/membership/DirectoryController.java
@@ -49,7 +49,7 @@
     }
 
     // A removed host must not count as missing capacity, and this daemon must no longer send the record of that host to
-    // peers. Both calls do nothing if the host has joined again before this listener is called.
+    // peers. None of the calls does anything if the host has joined again before this listener is called.
     private synchronized void onMemberRemoved(String host) {
         board.directory().removeHost(host);
         board.records().removeIfRejected(HostRecord.PREFIX + host);
