Call a backend server again at once after it has refused connections

The cause is the same as for the platform's store: after five failed connection attempts the load balancer inside the HTTP client fails calls without an attempt and checks the address every few seconds. For calls, that decision is the daemon's own: its health of the backend server, the circuit breaker and the trial calls. They took each call that the library failed for a failure of the backend server.

The clients for calls, to backend servers and to other daemons, use the load balancer without health checks too.

--- a/daemon/src/main/java/io/fuchsiastand/daemon/http/Transport.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/http/Transport.java
@@ -17,6 +17,7 @@
 import io.fuchsiastand.daemon.board.Settings;
 import io.fuchsiastand.error.ErrorCode;
 import io.fuchsiastand.error.FuchsiastandException;
+import io.fuchsiastand.http.LoadBalancing;
 import io.fuchsiastand.http.MessageSizeLimit;
 import io.fuchsiastand.time.Clock;
 import io.grpc.BindableService;
@@ -288,6 +289,7 @@
 
     private SingleAddressHttpClientBuilder<InetSocketAddress, InetSocketAddress> client(String address, int port) {
         return HttpClients.forResolvedAddress(new InetSocketAddress(address, port))
+                .loadBalancerFactory(LoadBalancing.withoutHealthChecks("calls"))
                 .ioExecutor(ioExecutor)
                 .executionStrategy(HttpExecutionStrategies.offloadNone())
                 .protocols(http1())
