Find the object store of the product's own deployment again at once

A daemon of the product's own deployment, and fuchsiactl, could not reach an object store that had refused connections before for some seconds after its return; keys and configurations that operators had written meanwhile were not in force.

HttpObjectStore has the load balancer of the library in front of its address too, with the health check that fails calls without a connection attempt. It now uses the one without health checks.

RefusingPlatformTest: 20 refused calls, then a platform that listens. Before, the first call after that failed with "Failed to pick an active host ... state=UNHEALTHY ... Connection refused", the exception of the users' record; now it is answered.

--- a/store/src/main/java/io/fuchsiastand/store/HttpObjectStore.java
+++ b/store/src/main/java/io/fuchsiastand/store/HttpObjectStore.java
@@ -8,6 +8,7 @@
 import io.fuchsiastand.config.Json;
 import io.fuchsiastand.error.ErrorCode;
 import io.fuchsiastand.error.FuchsiastandException;
+import io.fuchsiastand.http.LoadBalancing;
 import io.fuchsiastand.http.MessageSizeLimit;
 import io.servicetalk.buffer.api.Buffer;
 import io.servicetalk.http.api.BlockingHttpClient;
@@ -55,6 +56,7 @@
 
     private static BlockingHttpClient createClient(String host, int port, Duration timeout) {
         return HttpClients.forSingleAddress(host, port)
+                .loadBalancerFactory(LoadBalancing.withoutHealthChecks("platform"))
                 // The calling thread waits for the response, and needs no other thread to receive its parts. If a call
                 // is
                 // cancelled, two threads may access the queue between them at the same time, which can crash the JVM.
