Reach a daemon again within a second after it has refused connections

A daemon that starts again could not be asked for tokens, records or chunks of the configuration by daemons that had called it meanwhile: gRPC waits longer after each refused connection, up to 2 min, and fails calls without an attempt until then.

Peers now ends the wait of a channel that is in transient failure with the next call, at most once a second. That is the first wait of gRPC, so that peers that are gone get no more attempts than after their first failure.

--- a/bench/src/main/java/io/fuchsiastand/bench/capacity/PeerCost.java
+++ b/bench/src/main/java/io/fuchsiastand/bench/capacity/PeerCost.java
@@ -12,6 +12,7 @@
 import io.fuchsiastand.protocol.AcquireReply;
 import io.fuchsiastand.protocol.AcquireRequest;
 import io.fuchsiastand.protocol.PeerGrpc;
+import io.fuchsiastand.time.Clock;
 import io.grpc.Server;
 import io.grpc.stub.StreamObserver;
 
@@ -51,7 +52,7 @@
             }
         });
         try (CountingRelay relay = new CountingRelay(server.getPort());
-                Peers peers = new Peers(transport)) {
+                Peers peers = new Peers(transport, Clock.system())) {
             call(peers, server.getPort(), WARMUP_CALLS, WARMUP_MAX_IN_FLIGHT, 0);
             call(peers, relay.port(), COUNTED_CALLS, 1, 0);
             long bytesBefore = relay.bytes();
--- a/daemon/src/main/java/io/fuchsiastand/daemon/Daemon.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/Daemon.java
@@ -115,7 +115,7 @@
         HeaderConventions conventions = deployment.headerConventions();
         board = new Blackboard(settings, settings.ports(), clock);
         transport = new Transport(settings.tls());
-        peers = new Peers(transport);
+        peers = new Peers(transport, clock);
         configuration = new ConfigurationController(board);
         gossip = new GossipController(board, peers, configuration::missingChunks);
         backends = new BackendController(board, transport);
--- a/daemon/src/main/java/io/fuchsiastand/daemon/http/Peers.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/http/Peers.java
@@ -9,6 +9,8 @@
 
 import io.fuchsiastand.membership.Member;
 import io.fuchsiastand.protocol.PeerGrpc;
+import io.fuchsiastand.time.Clock;
+import io.grpc.ConnectivityState;
 import io.grpc.ManagedChannel;
 import io.grpc.stub.StreamObserver;
 import io.servicetalk.http.api.StreamingHttpClient;
@@ -16,17 +18,24 @@
 /** Connections to other daemons, opened on first use and closed when the member has died or left. */
 public final class Peers implements AutoCloseable {
 
+    // gRPC waits longer and longer, up to 2 min, before it connects again to a peer that refuses connections.
+    private static final Duration MAX_BACKOFF = Duration.ofSeconds(1);
+
     private final Transport transport;
+    private final Clock clock;
     private final Map<String, ManagedChannel> channels = new ConcurrentHashMap<>();
+    private final Map<String, Long> backoffResetNanos = new ConcurrentHashMap<>();
     private final Map<String, StreamingHttpClient> clients = new ConcurrentHashMap<>();
 
     /**
      * Creates a set of connections, which is empty at first.
      *
      * @param transport creates channels and clients
+     * @param clock the clock
      */
-    public Peers(Transport transport) {
+    public Peers(Transport transport, Clock clock) {
         this.transport = transport;
+        this.clock = clock;
     }
 
     /**
@@ -42,8 +51,9 @@
     public <T> CompletableFuture<T> call(
             String address, int port, Duration timeout, BiConsumer<PeerGrpc.PeerStub, StreamObserver<T>> call) {
         CompletableFuture<T> out = new CompletableFuture<>();
-        ManagedChannel channel =
-                channels.computeIfAbsent(address + ':' + port, k -> transport.peerChannel(address, port));
+        String key = address + ':' + port;
+        ManagedChannel channel = channels.computeIfAbsent(key, k -> transport.peerChannel(address, port));
+        limitBackoff(key, channel);
         PeerGrpc.PeerStub stub = PeerGrpc.newStub(channel).withDeadlineAfter(timeout.toMillis(), TimeUnit.MILLISECONDS);
         call.accept(stub, new FutureObserver<>(out));
         return out;
@@ -81,7 +91,9 @@
      * @param member the member
      */
     public void closeConnections(Member member) {
-        ManagedChannel channel = channels.remove(member.address() + ':' + member.peerPort());
+        String key = member.address() + ':' + member.peerPort();
+        backoffResetNanos.remove(key);
+        ManagedChannel channel = channels.remove(key);
         if (channel != null) {
             channel.shutdown();
         }
@@ -91,6 +103,18 @@
         }
     }
 
+    private void limitBackoff(String key, ManagedChannel channel) {
+        if (channel.getState(false) != ConnectivityState.TRANSIENT_FAILURE) {
+            return;
+        }
+        long now = clock.nanoTime();
+        Long last = backoffResetNanos.get(key);
+        if (last == null || now - last >= MAX_BACKOFF.toNanos()) {
+            backoffResetNanos.put(key, now);
+            channel.resetConnectBackoff();
+        }
+    }
+
     @Override
     public void close() {
         channels.values().forEach(ManagedChannel::shutdownNow);
--- a/daemon/src/test/java/io/fuchsiastand/daemon/http/TransportTest.java
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/http/TransportTest.java
@@ -10,6 +10,7 @@
 import io.fuchsiastand.protocol.PeerGrpc;
 import io.fuchsiastand.protocol.ProbeReply;
 import io.fuchsiastand.protocol.ProbeRequest;
+import io.fuchsiastand.time.Clock;
 import io.grpc.Server;
 import io.grpc.stub.StreamObserver;
 import io.servicetalk.http.api.StreamingHttpClient;
@@ -80,7 +81,7 @@
     }
 
     private static ProbeReply probe(Transport from, int port) throws Exception {
-        try (Peers peers = new Peers(from)) {
+        try (Peers peers = new Peers(from, Clock.system())) {
             return peers.<ProbeReply>call(
                             LOOPBACK, port, TIMEOUT, (stub, o) -> stub.probe(ProbeRequest.getDefaultInstance(), o))
                     .get();
--- a/daemon/src/test/java/io/fuchsiastand/daemon/idempotency/IdempotencyControllerTest.java
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/idempotency/IdempotencyControllerTest.java
@@ -18,6 +18,7 @@
 import io.fuchsiastand.protocol.TrackRequest;
 import io.fuchsiastand.protocol.TrackResult;
 import io.fuchsiastand.standin.MemoryObjectStore;
+import io.fuchsiastand.time.Clock;
 import io.fuchsiastand.time.ManualClock;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -33,7 +34,7 @@
     private final Settings settings = TestSettings.with("[limits]\nshards = 1\n");
     private final MemoryObjectStore store = new MemoryObjectStore();
     private final Transport transport = new Transport(Optional.empty());
-    private final Peers peers = new Peers(transport);
+    private final Peers peers = new Peers(transport, Clock.system());
     private final DaemonProcess process = new DaemonProcess();
 
     /** The parts of one process of the daemon that decide about idempotency keys. */
--- a/daemon/src/test/java/io/fuchsiastand/daemon/membership/DirectoryControllerTest.java
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/membership/DirectoryControllerTest.java
@@ -26,6 +26,7 @@
 import io.fuchsiastand.routing.BackendState;
 import io.fuchsiastand.routing.Departures;
 import io.fuchsiastand.routing.HostRecord;
+import io.fuchsiastand.time.Clock;
 import io.fuchsiastand.time.ManualClock;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -53,7 +54,7 @@
     void start() {
         members.listenRemoved(h -> onRemoved.accept(h));
         board.records().listen(r -> onStored.accept(r));
-        new DirectoryController(board, new Peers(transport)).start();
+        new DirectoryController(board, new Peers(transport, Clock.system())).start();
     }
 
     @AfterEach
--- a/daemon/src/test/java/io/fuchsiastand/daemon/store/JoinControllerTest.java
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/store/JoinControllerTest.java
@@ -18,6 +18,7 @@
 import io.fuchsiastand.store.ObjectStore;
 import io.fuchsiastand.store.ObjectsAtRevision;
 import io.fuchsiastand.store.StoredObject;
+import io.fuchsiastand.time.Clock;
 import io.fuchsiastand.time.ManualClock;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -136,7 +137,7 @@
 
     private JoinController startProcess(Runnable storeTask) {
         Blackboard board = new Blackboard(settings, settings.ports(), clock);
-        gossip = new GossipController(board, new Peers(transport), List::of);
+        gossip = new GossipController(board, new Peers(transport, Clock.system()), List::of);
         return new JoinController(board, new CountingStore(objects, calls), gossip, storeTask);
     }
 
--- a/daemon/src/test/java/io/fuchsiastand/daemon/store/ShardTableWriterTest.java
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/store/ShardTableWriterTest.java
@@ -19,6 +19,7 @@
 import io.fuchsiastand.store.ObjectStore;
 import io.fuchsiastand.store.ObjectsAtRevision;
 import io.fuchsiastand.store.StoredObject;
+import io.fuchsiastand.time.Clock;
 import io.fuchsiastand.time.ManualClock;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -38,7 +39,7 @@
     private final Blackboard board = new Blackboard(settings, settings.ports(), clock);
     private final MemoryObjectStore store = new MemoryObjectStore();
     private final Transport transport = new Transport(Optional.empty());
-    private final LimitController limits = new LimitController(board, new Peers(transport));
+    private final LimitController limits = new LimitController(board, new Peers(transport, Clock.system()));
     private final ShardTableWriter writer = new ShardTableWriter(board, limits, store);
 
     // Guards against a daemon that ends its leases because a watch delivers the entry that it is writing itself, before
