Store the index of a configuration before its chunks

A confirmed version could stay out of force on a daemon that had read it from the platform's store, until a neighbour sent the missing chunk or, on a daemon without neighbours that had it, until the next change.

The watch stored the chunks of a version one by one and then its index. When records of a peer completed an older version in between, that version came into force, and the chunks that it did not use were removed, among them those of the version that was just being stored. Its index then named a chunk that was gone, and the watch, which had delivered it, did not read it again.

The watch now stores the index first. An older index can then no longer be taken as the newest one, and each chunk that arrives completes the version. Daemons that learn of the index meanwhile fetch its chunks by name, as before.

ConfigurationControllerTest lets a peer complete version 12 before, between and after the records of version 13: version 12 stayed in force before the change, and version 13 is in force in each case after it.

--- a/daemon/src/main/java/io/fuchsiastand/daemon/store/ConfigurationWatch.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/store/ConfigurationWatch.java
@@ -88,9 +88,11 @@
 
     private void storeRecords(Configuration c) {
         Map<String, byte[]> chunks = ConfigurationCodec.split(c);
-        chunks.forEach((digest, bytes) -> put(ConfigurationCodec.chunkName(digest), 1, bytes));
         ConfigurationIndex index = new ConfigurationIndex(c.version(), List.copyOf(chunks.keySet()), List.of());
+        // Before the chunks: when a peer completes an older version, the chunks that only this one uses would be
+        // removed.
         put(ConfigurationCodec.INDEX_NAME, c.version(), Json.write(index));
+        chunks.forEach((digest, bytes) -> put(ConfigurationCodec.chunkName(digest), 1, bytes));
         // Gossip spreads this record at once, as it has only a few bytes. A daemon whose watch missed the change then
         // requests the configuration from a peer.
         board.putRecord(ConfigurationCodec.VERSION_NAME, c.version(), new byte[0]);
