Fetch a newer configuration from a daemon that has it in force

Daemons that the store did not serve, or that had not found it again, ran requests by routes of old versions and refused new ones with 404 and 401 as long as versions followed each other quickly: they got no version at all until the changes ended.

The number of a version spread as gossip, also through daemons that did not have the configuration. A daemon that heard it asked a random neighbour for the index, once in 0.7 s, and another random one for the chunks, at each tick. Daemons drop the chunks of a version when the next one is in force, so that the chunks that an index named were gone before a neighbour was asked for them.

A daemon now names a version only when its configuration is in force. Who hears of it fetches the index and then the missing chunks from that daemon: at once while its own source fails, otherwise at the next tick, by which the source has usually delivered it. The exchanges with random neighbours remain. A log line says from whom a version is fetched.

ConfigurationWatchTest looked for the record of the version, which the watch no longer writes; it now looks for the index of the same version, which is as strict.

--- a/core/src/main/java/io/fuchsiastand/config/ConfigurationCodec.java
+++ b/core/src/main/java/io/fuchsiastand/config/ConfigurationCodec.java
@@ -22,8 +22,8 @@
     /** Name of the object that holds the {@link ConfigurationIndex}. */
     public static final String INDEX_NAME = "config/index";
     /**
-     * Name of a record without content. Its version is the version of the newest configuration that a daemon has
-     * received from the configuration source or that a peer has reported.
+     * Name of a record without content. Its version is the version of the configuration that is in force on the daemon
+     * that holds the record.
      */
     public static final String VERSION_NAME = "config/version";
     /** Prefix of the names of the objects that hold a {@link ConfigurationChunk}. */
--- a/daemon/src/main/java/io/fuchsiastand/daemon/membership/GossipController.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/membership/GossipController.java
@@ -1,6 +1,7 @@
 package io.fuchsiastand.daemon.membership;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
@@ -9,6 +10,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 
@@ -33,8 +36,8 @@
 /**
  * Probes neighbours, sends gossip updates with the probes, and obtains records that gossip did not deliver by periodic
  * anti-entropy exchanges with a random neighbour. Probes seeds and dead members, so that this daemon joins or rejoins the
- * fleet, and fetches missing content-addressed records by name. Reads the records; writes the members, the time of the
- * last contact with a peer, and the records that peers send.
+ * fleet, and fetches missing content-addressed records by name. Fetches a newer configuration from a peer that has it in
+ * force. Reads the records; writes the members, the time of the last contact with a peer, and the records that peers send.
  */
 public final class GossipController {
 
@@ -53,6 +56,9 @@
     private final Supplier<List<String>> missingRecords;
     private final SplittableRandom random = new SplittableRandom();
     private final Set<Settings.Endpoint> seeds = ConcurrentHashMap.newKeySet();
+    // The newest version of the configuration that a peer has in force, and the host that has last said so, or null.
+    private final AtomicLong newestVersion = new AtomicLong();
+    private final AtomicReference<String> newestVersionHolder = new AtomicReference<>();
     private volatile boolean synced;
     private long lastSync;
     // When the seeds and a dead member were last probed; 0 to probe them at the next tick.
@@ -112,25 +118,57 @@
             return;
         }
         gossip.chooseProbeTarget().ifPresent(this::probe);
-        boolean urgent =
-                !synced || !board.lastContact().get().isConfigurationSourceAvailable() || isConfigurationOutdated();
+        boolean outdated = newestVersion.get() > versionInForce();
+        boolean urgent = !synced || outdated || !board.lastContact().get().isConfigurationSourceAvailable();
         if (now - lastSync >= (urgent ? URGENT_SYNC_PERIOD : SYNC_PERIOD).toNanos()) {
             lastSync = now;
             sync(randomNeighbour());
         }
+        Optional<Member> holder = outdated ? takeHolder() : Optional.empty();
         List<String> names = missingRecords.get();
-        if (!names.isEmpty()) {
+        if (holder.isPresent()) {
+            fetchConfiguration(holder.get());
+        } else if (!names.isEmpty()) {
             fetch(randomNeighbour(), names);
         }
     }
 
-    // Returns whether a peer has sent the number of a configuration version that this daemon does not have yet.
-    private boolean isConfigurationOutdated() {
-        long ownVersion = board.configuration().get().configuration().version();
-        return board.records()
-                .get(ConfigurationCodec.VERSION_NAME)
-                .filter(r -> r.getVersion() > ownVersion)
-                .isPresent();
+    private long versionInForce() {
+        return board.configuration().get().configuration().version();
+    }
+
+    private Optional<Member> takeHolder() {
+        return Optional.ofNullable(newestVersionHolder.getAndSet(null)).flatMap(board.members()::find);
+    }
+
+    // A daemon stores the record of a version when its configuration is in force. The record of a peer is not stored
+    // here, so that each daemon that sends one can be asked for the configuration.
+    private void onVersion(String host, long version) {
+        if (version <= versionInForce()) {
+            return;
+        }
+        long before = newestVersion.getAndAccumulate(version, Math::max);
+        if (version >= before) {
+            newestVersionHolder.set(host);
+        }
+        // Otherwise the own source most likely delivers the version before the next tick.
+        if (version > before && !board.lastContact().get().isConfigurationSourceAvailable()) {
+            takeHolder().ifPresent(this::fetchConfiguration);
+        }
+    }
+
+    private void fetchConfiguration(Member holder) {
+        Logger.info(
+                "fetching version {} of the configuration, which is newer than version {}, from {}",
+                newestVersion.get(),
+                versionInForce(),
+                holder.host());
+        fetch(holder, List.of(ConfigurationCodec.INDEX_NAME)).thenRun(() -> {
+            List<String> chunks = missingRecords.get();
+            if (!chunks.isEmpty()) {
+                fetch(holder, chunks);
+            }
+        });
     }
 
     /**
@@ -140,8 +178,8 @@
      * @param replyConsumer called with the reply, after the indirect probe if the target is another member
      */
     public void onProbe(ProbeRequest request, Consumer<ProbeReply> replyConsumer) {
-        boolean known = gossip.receive(request);
-        recordPeerContact();
+        boolean known = board.members().find(request.getFrom()).isPresent();
+        receive(request.getFrom(), request.getUpdatesList(), request.getRecordsList());
         String self = board.settings().host();
         // A probe without a target comes from a daemon that joins the fleet. The reply lists all members.
         if (request.getTarget().isEmpty()) {
@@ -170,7 +208,7 @@
      * @return the reply
      */
     public SyncReply onSync(SyncRequest request) {
-        receive(List.of(), request.getRecordsList());
+        receive(request.getFrom(), List.of(), request.getRecordsList());
         return board.records().answerSync(request);
     }
 
@@ -198,7 +236,8 @@
                             if (e == null) {
                                 Logger.info(
                                         "the seed at {}:{} answered and sent its list of members", s.host(), s.port());
-                                receive(r.getUpdatesList(), r.getRecordsList());
+                                // The reply of a seed has no records.
+                                receive("", r.getUpdatesList(), List.of());
                             } else if (seeds.size() > MAX_SEEDS_PER_ROUND) {
                                 // The join records of hosts that no longer exist must not use up the limit, since
                                 // this daemon would then never probe the other seeds.
@@ -241,7 +280,7 @@
         return peers.<ProbeReply>call(to, timeout, (stub, o) -> stub.probe(request, o))
                 .whenComplete((r, e) -> {
                     if (e == null) {
-                        receive(r.getUpdatesList(), r.getRecordsList());
+                        receive(to.host(), r.getUpdatesList(), r.getRecordsList());
                     } else {
                         gossip.requeueUndelivered(request);
                     }
@@ -257,16 +296,19 @@
                 synced = true;
                 return;
             }
-            sendSync(with, next.get()).thenAccept(reply -> receive(List.of(), reply.getRecordsList()));
+            sendSync(with, next.get()).thenAccept(reply -> receive(with.host(), List.of(), reply.getRecordsList()));
         });
     }
 
-    private void fetch(Member from, List<String> names) {
+    private CompletableFuture<Void> fetch(Member from, List<String> names) {
         SyncRequest request = SyncRequest.newBuilder()
                 .setFrom(board.settings().host())
                 .addAllWanted(names)
                 .build();
-        sendSync(from, request).thenAccept(r -> receive(List.of(), r.getRecordsList()));
+        return sendSync(from, request).thenAccept(r -> {
+            r.getRecordsList().forEach(board.records()::putWithoutGossip);
+            recordPeerContact();
+        });
     }
 
     private CompletableFuture<SyncReply> sendSync(Member to, SyncRequest request) {
@@ -274,8 +316,16 @@
                 to, CALL_TIMEOUT, (PeerGrpc.PeerStub stub, StreamObserver<SyncReply> o) -> stub.sync(request, o));
     }
 
-    private void receive(List<MemberUpdate> updates, List<Record> records) {
-        gossip.receive(updates, records);
+    private void receive(String from, List<MemberUpdate> updates, List<Record> records) {
+        List<Record> others = new ArrayList<>();
+        for (Record r : records) {
+            if (r.getName().equals(ConfigurationCodec.VERSION_NAME)) {
+                onVersion(from, r.getVersion());
+            } else {
+                others.add(r);
+            }
+        }
+        gossip.receive(updates, others);
         recordPeerContact();
     }
 
--- a/daemon/src/main/java/io/fuchsiastand/daemon/store/ConfigurationWatch.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/store/ConfigurationWatch.java
@@ -93,9 +93,6 @@
         // removed.
         put(ConfigurationCodec.INDEX_NAME, c.version(), Json.write(index));
         chunks.forEach((digest, bytes) -> put(ConfigurationCodec.chunkName(digest), 1, bytes));
-        // Gossip spreads this record at once, as it has only a few bytes. A daemon whose watch missed the change then
-        // requests the configuration from a peer.
-        board.putRecord(ConfigurationCodec.VERSION_NAME, c.version(), new byte[0]);
     }
 
     private void put(String name, long version, byte[] value) {
--- a/daemon/src/test/java/io/fuchsiastand/daemon/store/ConfigurationWatchTest.java
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/store/ConfigurationWatchTest.java
@@ -39,7 +39,7 @@
         watch[0].run();
 
         assertThat(board.records()
-                        .get(ConfigurationCodec.VERSION_NAME)
+                        .get(ConfigurationCodec.INDEX_NAME)
                         .orElseThrow()
                         .getVersion())
                 .isEqualTo(7);
