Look for join records often until they have been read once

Daemons that started while the store refused connections found each other, and so the backend servers of other hosts, up to 5 s after the store had come back: their callers were refused meanwhile.

After some failures the loop that reads the join records waits up to 5 s, also if the daemon has never read them and knows no other daemon. It now waits at most 0.4 s until it has read them once, as the watch does until there is a configuration. A daemon that has joined waits as long as before.

--- a/daemon/src/main/java/io/fuchsiastand/daemon/store/JoinController.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/store/JoinController.java
@@ -41,6 +41,9 @@
     private static final Duration INITIAL_INTERVAL = Duration.ofMillis(700);
     private static final Duration MAX_INTERVAL = Duration.ofMinutes(1);
     private static final Duration ERA_CHECK_INTERVAL = Duration.ofMillis(500);
+    private static final int MAX_BACKOFF_STEP = 20;
+    // A daemon that has read no join records yet may know no other daemon, and so no backend server of another host.
+    private static final int MAX_BACKOFF_STEP_BEFORE_JOIN = 4;
     private static final Duration MIN_DEAD_TIME = Duration.ofMinutes(5);
 
     private final Blackboard board;
@@ -117,16 +120,20 @@
                             e.code().code(),
                             e.getMessage());
                 }
-                Pause.sleep(RetryingObjectStore.delay(Math.min(failures, 20), random));
+                Pause.sleep(RetryingObjectStore.delay(Math.min(failures, maxBackoffStep()), random));
             } catch (RuntimeException e) {
                 if (failures++ == 0) {
                     Logger.error(e, "an error in the daemon interrupted its work with the object store");
                 }
-                Pause.sleep(RetryingObjectStore.delay(Math.min(failures, 20), random));
+                Pause.sleep(RetryingObjectStore.delay(Math.min(failures, maxBackoffStep()), random));
             }
         }
     }
 
+    private int maxBackoffStep() {
+        return loaded ? MAX_BACKOFF_STEP : MAX_BACKOFF_STEP_BEFORE_JOIN;
+    }
+
     // A restarted daemon usually finds the join record of the process before it, and need not write it again.
     void exchangeRecords() {
         readJoinRecords();
