Answer a call that fails while its body is still arriving

Callers that sent a body in chunks got a closed connection and no answer when the call failed before they had sent it all, for example because the backend server answered at once with something that is not the answer to the request. They could not know whether to repeat it.

The exchange with the backend server ends with the failure and cancels the body of the request. ServiceTalk answers the cancellation by closing the connection of the caller, before the refusal is written; the log of the daemon shows a 502 that nobody got.

Both servers of a daemon now drain a body that is cancelled: the rest is read and dropped, at most as much as the configuration allows for a body, and the answer is sent at once. The guard of the connection already closes one whose rest of a body does not arrive.

--- a/daemon/src/main/java/io/fuchsiastand/daemon/edge/CallerService.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/edge/CallerService.java
@@ -23,6 +23,7 @@
 import io.fuchsiastand.daemon.http.ProblemResponses;
 import io.fuchsiastand.daemon.http.RateLimitHeaders;
 import io.fuchsiastand.daemon.http.RefusalException;
+import io.fuchsiastand.daemon.http.RequestBodyDrain;
 import io.fuchsiastand.daemon.http.RequestCheck;
 import io.fuchsiastand.daemon.limit.RateLimiter;
 import io.fuchsiastand.daemon.metrics.Metrics;
@@ -119,6 +120,9 @@
                 bodyRead.set(true);
                 ConnectionGuard.endRequestBody(context);
             }));
+            RequestBodyDrain.install(
+                    request,
+                    board.configuration().get().configuration().limits().bodyBytes());
         }
         AtomicBoolean ended = new AtomicBoolean();
         Runnable end = () -> {
--- a/daemon/src/main/java/io/fuchsiastand/daemon/owner/OwnerService.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/owner/OwnerService.java
@@ -15,6 +15,8 @@
 import io.fuchsiastand.daemon.http.HeaderNames;
 import io.fuchsiastand.daemon.http.ProblemResponses;
 import io.fuchsiastand.daemon.http.RefusalException;
+import io.fuchsiastand.daemon.http.RequestBodyDrain;
+import io.fuchsiastand.daemon.http.RequestCheck;
 import io.fuchsiastand.daemon.metrics.RequestLog;
 import io.fuchsiastand.error.ErrorCode;
 import io.fuchsiastand.health.Baseline;
@@ -107,6 +109,10 @@
     public Single<StreamingHttpResponse> handle(
             HttpServiceContext context, StreamingHttpRequest request, StreamingHttpResponseFactory factory) {
         HalfCloseDetection.install(context);
+        if (RequestCheck.hasBody(request)) {
+            // The daemon that forwards the body limits its length.
+            RequestBodyDrain.install(request, Long.MAX_VALUE);
+        }
         HttpHeaders h = request.headers();
         long timeoutMillis = HeaderNames.parseLong(h.get(HeaderNames.DEADLINE), DEFAULT_DEADLINE_MILLIS);
         Baseline baseline = new Baseline(
--- a/daemon/src/test/java/io/fuchsiastand/daemon/RawBackendServer.java
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/RawBackendServer.java
@@ -43,6 +43,8 @@
     volatile String bytesBeforeNextResponse = "";
     /** Whether it resets its connections instead of closing them. */
     volatile boolean resetsConnections;
+    /** Whether it reads the body of a request before it responds. */
+    volatile boolean readsBodies = true;
     /** The time in milliseconds between a request and its response. */
     volatile int delayMillis;
 
@@ -134,7 +136,7 @@
     }
 
     // Reads the head of a request and its body, whose end follows from the framing headers.
-    private static String read(InputStream in) throws IOException {
+    private String read(InputStream in) throws IOException {
         StringBuilder b = new StringBuilder();
         while (b.indexOf("\r\n\r\n") < 0) {
             int c = in.read();
@@ -143,6 +145,9 @@
             }
             b.append((char) c);
         }
+        if (!readsBodies) {
+            return b.toString();
+        }
         String head = b.toString().toLowerCase(Locale.ROOT);
         if (head.contains("transfer-encoding: chunked")) {
             while (b.indexOf("\r\n0\r\n") < 0 || !b.toString().endsWith("\r\n\r\n")) {
