--- a/daemon/src/main/java/io/fuchsiastand/daemon/store/ConfigurationController.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/store/ConfigurationController.java
@@ -90,8 +90,7 @@
         board.directory().updateAllWeights();
         removeUnusedChunks();
         // Gossip spreads this record at once, as it has no content. A daemon whose watch missed the change then fetches
-        // the
-        // configuration from this one.
+        // the configuration from this one.
         board.putRecord(ConfigurationCodec.VERSION_NAME, newestIndex.version(), new byte[0]);
         Logger.info("configuration version {} is in force", newestIndex.version());
     }
--- a/daemon/src/test/java/io/fuchsiastand/daemon/RefusalDuringBodyTest.java
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/RefusalDuringBodyTest.java
@@ -43,8 +43,7 @@
     }
 
     // Guards against a connection that is closed instead of an answer, when the call fails before the caller has sent
-    // the whole
-    // body (LOST).
+    // the whole body (LOST).
     @ParameterizedTest
     @ValueSource(ints = {0, 1})
     void theCallerGetsTheRefusal(int daemon) throws Exception {
