Carry the target latency and the kind of a call to the owner

Requests that look alike to an owner cost its backend server very different amounts of work, and the owner knew neither the route of a call nor until when its answer is fully useful. An ingress daemon now forwards both: the time left until the target latency of the route, and a digest of the route with the size of the body (WorkKind). CallHeaders writes and reads all headers of a forwarded call, which stood in Dispatcher and OwnerService before. Nothing decides by the new fields yet; headers that are missing give the behaviour of before.

--- a/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/CallAttempts.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/CallAttempts.java
@@ -6,11 +6,13 @@
 
 import io.fuchsiastand.daemon.edge.RoutedRequest;
 import io.fuchsiastand.daemon.http.RefusalException;
+import io.fuchsiastand.daemon.http.RequestCheck;
 import io.fuchsiastand.error.ErrorCode;
 import io.fuchsiastand.retry.RetryBudget;
 import io.fuchsiastand.routing.Candidate;
 import io.fuchsiastand.routing.ServiceDirectory;
 import io.fuchsiastand.time.Clock;
+import io.fuchsiastand.work.WorkKind;
 import io.servicetalk.buffer.api.Buffer;
 
 /** A request and the results of its attempts so far. */
@@ -29,6 +31,7 @@
     final Set<Candidate> tried = new HashSet<>();
     private final Clock clock;
     final long startNanos;
+    final WorkKind kind;
     // The buffered body; null if the body is a stream, which can be sent only once.
     final Buffer body;
     boolean bodyUsed;
@@ -61,6 +64,8 @@
         this.budget = budget;
         this.clock = clock;
         startNanos = clock.nanoTime();
+        long bodyBytes = RequestCheck.hasBody(routed.request()) ? RequestCheck.bodyLength(routed.request()) : 0;
+        kind = WorkKind.of(service, routed.match().route(), bodyBytes);
     }
 
     // After an attempt that reached no backend server, another attempt starts only in the first half of the time
--- a/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/Dispatcher.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/Dispatcher.java
@@ -23,9 +23,9 @@
 import io.fuchsiastand.daemon.metrics.Metrics;
 import io.fuchsiastand.daemon.metrics.RequestLog;
 import io.fuchsiastand.daemon.owner.BackendCall;
+import io.fuchsiastand.daemon.owner.CallHeaders;
 import io.fuchsiastand.daemon.owner.OwnerService;
 import io.fuchsiastand.error.ErrorCode;
-import io.fuchsiastand.health.Baseline;
 import io.fuchsiastand.health.ServerSummary;
 import io.fuchsiastand.health.ServiceBaseline;
 import io.fuchsiastand.membership.Member;
@@ -246,24 +246,24 @@
         RoutedRequest x = a.routed;
         StreamingHttpRequest request = a.body == null ? x.request() : copy(x.request(), a.body);
         a.bodyUsed = true;
-        Baseline baseline = baseline(a.service).latest();
-        long left = x.deadline() - board.clock().nanoTime();
-        String caller = board.settings().service().orElse("");
+        BackendCall call = new BackendCall(
+                c.server().id(),
+                a.service,
+                x.team(),
+                board.settings().service().orElse(""),
+                x.isIdempotent(),
+                a.failedSends > 0,
+                a.lastResort,
+                a.trial,
+                c.rateLimit(),
+                x.priority(),
+                x.deadline(),
+                x.target(),
+                a.kind,
+                baseline(a.service).latest(),
+                request);
         if (c.host().equals(board.settings().host())) {
-            return owner.run(new BackendCall(
-                    c.server().id(),
-                    a.service,
-                    x.team(),
-                    caller,
-                    x.isIdempotent(),
-                    a.failedSends > 0,
-                    a.lastResort,
-                    a.trial,
-                    c.rateLimit(),
-                    x.priority(),
-                    x.deadline(),
-                    baseline,
-                    request));
+            return owner.run(call);
         }
         Member m = board.members().find(c.host()).orElse(null);
         if (m == null) {
@@ -272,30 +272,7 @@
                     "the host of the backend server is no longer in the fleet",
                     RETRY_AFTER_MILLIS));
         }
-        HttpHeaders h = request.headers();
-        h.set(HeaderNames.BACKEND, c.server().id());
-        h.set(HeaderNames.SERVICE, a.service);
-        h.set(HeaderNames.DEADLINE, Long.toString(Math.max(1, left / NANOS_PER_MILLI)));
-        h.set(HeaderNames.IDEMPOTENT, Boolean.toString(x.isIdempotent()));
-        if (a.failedSends > 0) {
-            h.set(HeaderNames.REPEATED, "1");
-        }
-        if (a.lastResort) {
-            h.set(HeaderNames.LAST_RESORT, "1");
-        }
-        if (a.trial) {
-            h.set(HeaderNames.TRIAL, "1");
-        }
-        c.rateLimit().ifPresent(limit -> h.set(HeaderNames.RATE_LIMIT, Double.toString(limit)));
-        h.set(HeaderNames.PRIORITY, Integer.toString(x.priority()));
-        h.set(HeaderNames.BASELINE_FAILURES, Double.toString(baseline.failureShare()));
-        h.set(HeaderNames.BASELINE_SLOW, Double.toString(baseline.slowMillis()));
-        if (!x.team().isEmpty()) {
-            h.set(HeaderNames.TEAM, x.team());
-        }
-        if (!caller.isEmpty()) {
-            h.set(HeaderNames.CALLER, caller);
-        }
+        CallHeaders.write(call, board.clock());
         return peers.dataClient(m)
                 .request(request)
                 .timeout(timeUntilDeadline(a).plus(REPORT_TIME), timer)
--- a/daemon/src/main/java/io/fuchsiastand/daemon/edge/CallerService.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/edge/CallerService.java
@@ -260,7 +260,15 @@
             millis = maxMillis;
         }
         int priority = match.route().policy().priority();
-        return new RoutedRequest(request, match, "", priority, board.clock().nanoTime() + millis * NANOS_PER_MILLI);
+        long now = board.clock().nanoTime();
+        long targetMillis = match.route().policy().target().toMillis();
+        return new RoutedRequest(
+                request,
+                match,
+                "",
+                priority,
+                now + millis * NANOS_PER_MILLI,
+                now + (targetMillis == 0 ? millis : Math.min(millis, targetMillis)) * NANOS_PER_MILLI);
     }
 
     private String authenticate(ActiveConfiguration active, StreamingHttpRequest request) {
--- a/daemon/src/main/java/io/fuchsiastand/daemon/edge/RoutedRequest.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/edge/RoutedRequest.java
@@ -11,8 +11,11 @@
  * @param team the name of the team that makes the request, or an empty text on open routes
  * @param priority the priority of the request; 0 is the most urgent
  * @param deadline monotonic time by which the request must finish, in nanoseconds
+ * @param target monotonic time until which a response is fully useful, in nanoseconds; the deadline if the route sets no target
+ *     latency
  */
-public record RoutedRequest(StreamingHttpRequest request, RouteMatch match, String team, int priority, long deadline) {
+public record RoutedRequest(
+        StreamingHttpRequest request, RouteMatch match, String team, int priority, long deadline, long target) {
 
     /**
      * Returns a copy with the given team and priority.
@@ -22,7 +25,7 @@
      * @return the copy
      */
     public RoutedRequest withTeam(String newTeam, int newPriority) {
-        return new RoutedRequest(request, match, newTeam, newPriority, deadline);
+        return new RoutedRequest(request, match, newTeam, newPriority, deadline, target);
     }
 
     /**
--- a/daemon/src/main/java/io/fuchsiastand/daemon/http/HeaderNames.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/http/HeaderNames.java
@@ -35,6 +35,10 @@
     public static final String IDEMPOTENT = "fuchsiastand-idempotent";
     /** Marks a call of which an earlier attempt may have reached a backend server; used only between daemons. */
     public static final String REPEATED = "fuchsiastand-repeated";
+    /** Time in milliseconds within which a response is fully useful, or 0 if that is over; used only between daemons. */
+    public static final String TARGET = "fuchsiastand-target-ms";
+    /** The route of a call and the size of its body, by which its work is estimated; used only between daemons. */
+    public static final String KIND = "fuchsiastand-kind";
     /** Priority of a call, where 0 is the highest; used only between daemons. */
     public static final String PRIORITY = "fuchsiastand-priority";
     /** Marks a response to a call that was not sent to the backend server; used only between daemons. */
--- a/daemon/src/main/java/io/fuchsiastand/daemon/owner/BackendCall.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/owner/BackendCall.java
@@ -3,6 +3,7 @@
 import java.util.OptionalDouble;
 
 import io.fuchsiastand.health.Baseline;
+import io.fuchsiastand.work.WorkKind;
 import io.servicetalk.http.api.StreamingHttpRequest;
 
 /**
@@ -19,6 +20,9 @@
  * @param knownRateLimit the rate limit of the backend server that the ingress daemon knows, in calls a second, or empty
  * @param priority the priority of the call; 0 is the most urgent
  * @param deadline time on the monotonic clock of this host by which the call must finish, in nanoseconds
+ * @param target time on the monotonic clock of this host until which a response is fully useful, in nanoseconds; the deadline
+ *     if the route sets no target latency
+ * @param kind the kind of the call, by which its work is estimated
  * @param baseline typical failures and service times of the service
  * @param request the request; {@link OwnerService} removes its internal headers before it sends the request
  */
@@ -34,5 +38,7 @@
         OptionalDouble knownRateLimit,
         int priority,
         long deadline,
+        long target,
+        WorkKind kind,
         Baseline baseline,
         StreamingHttpRequest request) {}
--- a/daemon/src/main/java/io/fuchsiastand/daemon/owner/OwnerService.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/owner/OwnerService.java
@@ -19,7 +19,6 @@
 import io.fuchsiastand.daemon.http.RequestCheck;
 import io.fuchsiastand.daemon.metrics.RequestLog;
 import io.fuchsiastand.error.ErrorCode;
-import io.fuchsiastand.health.Baseline;
 import io.fuchsiastand.health.Outcome;
 import io.fuchsiastand.queue.FairQueue;
 import io.fuchsiastand.routing.BackendState;
@@ -53,7 +52,6 @@
     private static final int SERVER_ERROR = 500;
     private static final int MISDIRECTED_REQUEST = 421;
     private static final long NANOS_PER_MILLI = 1_000_000;
-    private static final long DEFAULT_DEADLINE_MILLIS = 10_000;
     private static final long MIN_RETRY_AFTER_MILLIS = 50;
     // Maximum share of its remaining time that a call waits for a slot. The rest is left for an attempt at another
     // backend server or for a retry by the caller.
@@ -113,25 +111,7 @@
             // The daemon that forwards the body limits its length.
             RequestBodyDrain.install(request, Long.MAX_VALUE);
         }
-        HttpHeaders h = request.headers();
-        long timeoutMillis = HeaderNames.parseLong(h.get(HeaderNames.DEADLINE), DEFAULT_DEADLINE_MILLIS);
-        Baseline baseline = new Baseline(
-                HeaderNames.parseDouble(h.get(HeaderNames.BASELINE_FAILURES), 0),
-                HeaderNames.parseDouble(h.get(HeaderNames.BASELINE_SLOW), 0));
-        BackendCall call = new BackendCall(
-                text(h.get(HeaderNames.BACKEND)),
-                text(h.get(HeaderNames.SERVICE)),
-                text(h.get(HeaderNames.TEAM)),
-                text(h.get(HeaderNames.CALLER)),
-                "true".contentEquals(text(h.get(HeaderNames.IDEMPOTENT))),
-                h.contains(HeaderNames.REPEATED),
-                h.contains(HeaderNames.LAST_RESORT),
-                h.contains(HeaderNames.TRIAL),
-                HeaderNames.rateLimitOf(h),
-                (int) HeaderNames.parseLong(h.get(HeaderNames.PRIORITY), 0),
-                clock.nanoTime() + timeoutMillis * NANOS_PER_MILLI,
-                baseline,
-                request);
+        BackendCall call = CallHeaders.read(request, clock);
         inFlight.incrementAndGet();
         AtomicBoolean ended = new AtomicBoolean();
         Runnable end = () -> {
@@ -487,8 +467,4 @@
             onLeaving.accept(backend);
         }
     }
-
-    private static String text(CharSequence value) {
-        return value == null ? "" : value.toString();
-    }
 }
