--- a/daemon/src/main/java/io/fuchsiastand/daemon/board/Settings.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/board/Settings.java
@@ -40,6 +40,7 @@
  * @param service the service of this host, whose backend servers send calls through this daemon, or empty
  * @param rules the limits that hold for the whole fleet, and the time within which a process must end after the signal
  *     to stop
+ * @param scheduling which decisions about where and when calls run are made by their expected work
  */
 public record Settings(
         String host,
@@ -56,7 +57,8 @@
         int maxInFlight,
         boolean accessLog,
         Optional<String> service,
-        FleetRules rules) {
+        FleetRules rules,
+        Scheduling scheduling) {
 
     private static final Duration DEFAULT_KEYS_STALE_AFTER = Duration.ofSeconds(5);
     /** The highest port number. */
@@ -178,7 +180,8 @@
                         "limits",
                         "log",
                         "service",
-                        "rules")));
+                        "rules",
+                        "scheduling")));
         JsonNode limits = f.table("", root, "limits");
         f.checkKeys(
                 "limits",
@@ -209,7 +212,8 @@
                 integer(f, "limits", limits, "most_in_flight", DEFAULT_MAX_IN_FLIGHT, 1, MAX_IN_FLIGHT_LIMIT),
                 f.flag("log", log, "access", false),
                 Optional.ofNullable(root.has("service") ? f.text("", root, "service", "") : null),
-                FleetRules.read(f, f.table("", root, "rules")));
+                FleetRules.read(f, f.table("", root, "rules")),
+                Scheduling.read(f, f.table("", root, "scheduling")));
     }
 
     private static Ports ports(TomlFile f, JsonNode t) {
