Let calls wait by due date and refuse them by the expected work before them

Callers of a service with little room were refused or served late by decisions that know one mean time over all kinds of calls: a call waited a quarter of its time at a backend server whose queue could not serve it sooner, moved to the end of the next queue, and after half of its time was refused. Calls that could no longer meet their target went before calls that could.

With [scheduling] deadline_order, an owner predicts when each waiting call starts: list scheduling over the slots, from the expected time of each call and what running calls are expected to need. It refuses at once what cannot finish by its deadline, and what would wait more than a quarter of its time while it can be sent elsewhere. Among calls of equal priority and used slot time, the earliest target goes first and late calls last, with one slot in four for them. A team pays for a slot when its call gets it. An ingress daemon that was refused by three queues, or has nobody left to ask, lets the call wait at the queue with the shortest expected wait as long as it can finish by its deadline. Retry-After comes from the expected wait, spread, within what leaves time to run.

FairQueueTest passes its submission in the new form; its assertions are the same.

--- a/core/src/main/java/io/fuchsiastand/queue/FairQueue.java
+++ b/core/src/main/java/io/fuchsiastand/queue/FairQueue.java
@@ -1,11 +1,9 @@
 package io.fuchsiastand.queue;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
-import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 
 import io.fuchsiastand.error.ErrorCode;
@@ -13,16 +11,15 @@
 
 /**
  * Limits the concurrent calls to one backend server to its number of slots and keeps a short queue of waiting calls.
- * More urgent calls are always admitted first. Calls of the same priority are admitted by start-time fair queueing:
- * each team has a sub-queue at that priority, and the next call is one of the sub-queue with the least used slot time.
- * Slot time is counted only while the team has the sub-queue, which is created when a call of the team first has to
- * wait. If a team without waiting calls gets one, it is treated as having used at least as much as the sub-queues from
- * which calls were admitted before.
+ * More urgent calls are always admitted first. Calls of the same priority are admitted by start-time fair queueing on the
+ * slot time that teams used ({@link SubQueues}), and calls of equal rank by the {@link QueueOrder}. Slot time is counted
+ * only while the team has a sub-queue, which is created when a call of the team first has to wait.
  *
- * <p>When the queue is full, the sub-queue of the least urgent priority that has the most waiting calls is considered.
- * If its priority is less urgent than that of the new call, or is the same and it has at least two more calls than the
- * sub-queue of the new call, its newest call is refused. Otherwise the new call is refused. A call that is not expected
- * to get a slot before its deadline is refused at once.
+ * <p>When the queue is full, the least urgent calls, or those of the team with the most waiting calls, make room for the new
+ * one, or it is refused. A call that is not expected to finish by its deadline is refused at once. With
+ * {@link QueueOrder#DUE_DATE} this goes by the expected work before the call and its own; a call that is expected to wait
+ * longer than its submission allows is refused too, and waiting calls that a more urgent one makes miss their deadline are
+ * refused when it arrives. A call that finds a free slot and an empty queue is always admitted.
  *
  * <p>Thread-safe. Callbacks run on the thread that calls the queue, outside the lock.
  */
@@ -33,40 +30,18 @@
 
     // Weight of the newest call in the moving average of the time that calls hold a slot.
     private static final double SMOOTHING = 0.1;
-    // Above this number, empty sub-queues are removed and their used slot time is lost.
-    private static final int MAX_REMEMBERED_SUB_QUEUES = 1_024;
 
     private final Clock clock;
-    private final Map<SubQueueKey, SubQueue> subQueues = new HashMap<>();
+    private final QueueOrder order;
+    private final SubQueues waiting;
+    private final Set<Permit> running = new HashSet<>();
     private int slots;
     private int capacity;
-    private int running;
-    private int waiting;
+    private long submitted;
     private double meanHoldNanos;
-    // Minimum of the used slot time of a sub-queue, in nanoseconds, when a call arrives while it is empty, so that a
-    // team gains no precedence by having been idle. It is the largest used slot time that a sub-queue had when one of
-    // its waiting calls was taken from it.
-    private double minUsedNanosOnArrival;
 
-    /** Identifies the calls of one team and one priority. */
-    private record SubQueueKey(int priority, String team) {}
-
-    /**
-     * The waiting calls of one team and one priority, and the used slot time by which sub-queues are ordered. The used
-     * slot time is that of the calls that ended since the sub-queue was created. When a call arrives in an empty
-     * sub-queue, it is raised to at least {@link #minUsedNanosOnArrival}.
-     */
-    private static final class SubQueue {
-        private final Deque<SubmittedCall> calls = new ArrayDeque<>();
-        private double usedNanos;
-    }
-
-    /** A submitted call and its callbacks. */
-    private record SubmittedCall(
-            SubQueueKey key, long deadline, Consumer<Permit> admitted, Consumer<ErrorCode> refused) {}
-
-    /** A callback to run after the lock is released: it admits the call with a permit or refuses it with a code. */
-    private record Callback(SubmittedCall call, Permit permit, ErrorCode refusal) {
+    /** A callback to run after the lock is released: it admits the call with a permit or refuses it. */
+    private record Callback(SubmittedCall call, Permit permit, QueueRefusal refusal) {
 
         private void run() {
             if (permit != null) {
@@ -79,12 +54,13 @@
 
     /** Permission of one call to use a slot until it releases the permit. */
     public final class Permit {
-        private final SubQueueKey key;
+        private final SubmittedCall call;
         private final long since = clock.nanoTime();
-        private boolean released;
+        // The slot time that the team was charged when the call got the slot.
+        private double chargedNanos;
 
-        private Permit(SubQueueKey key) {
-            this.key = key;
+        private Permit(SubmittedCall call) {
+            this.call = call;
         }
 
         /** Releases the slot. Calls after the first have no effect. */
@@ -94,16 +70,30 @@
     }
 
     /**
-     * Creates a queue.
+     * Creates a queue with the order {@link QueueOrder#ARRIVAL}.
      *
      * @param slots the maximum number of calls that run concurrently
      * @param capacity the maximum number of calls that wait
      * @param clock the clock
      */
     public FairQueue(int slots, int capacity, Clock clock) {
+        this(slots, capacity, clock, QueueOrder.ARRIVAL);
+    }
+
+    /**
+     * Creates a queue.
+     *
+     * @param slots the maximum number of calls that run concurrently
+     * @param capacity the maximum number of calls that wait
+     * @param clock the clock
+     * @param order the order of calls of equal rank
+     */
+    public FairQueue(int slots, int capacity, Clock clock, QueueOrder order) {
         this.slots = slots;
         this.capacity = capacity;
         this.clock = clock;
+        this.order = order;
+        waiting = new SubQueues(order);
     }
 
     /**
@@ -119,7 +109,16 @@
     }
 
     /**
-     * Submits a call of priority 0: admits it, lets it wait, or refuses it.
+     * Returns the order of calls of equal rank.
+     *
+     * @return the order
+     */
+    public QueueOrder order() {
+        return order;
+    }
+
+    /**
+     * Submits a call of priority 0 without a target: admits it, lets it wait, or refuses it.
      *
      * @param team the name of the team that makes the call
      * @param deadline monotonic time by which the call must finish, in nanoseconds
@@ -128,43 +127,68 @@
      * @return a function that removes the call from the queue if it still waits; then neither callback is run
      */
     public Runnable submit(String team, long deadline, Consumer<Permit> admitted, Consumer<ErrorCode> refused) {
-        return submit(team, 0, deadline, admitted, refused);
+        return submit(Submission.builder(team, deadline).build(), admitted, r -> refused.accept(r.code()));
     }
 
     /**
      * Submits a call: admits it, lets it wait, or refuses it.
      *
-     * @param team the name of the team that makes the call
-     * @param priority the priority of the call; calls with lower numbers are more urgent and are always admitted first;
-     *     negative numbers are allowed
-     * @param deadline monotonic time by which the call must finish, in nanoseconds
+     * @param s the call
      * @param admitted run when the call may start; it must release the permit when the call has ended
      * @param refused run instead when the call is refused or dropped from the queue
      * @return a function that removes the call from the queue if it still waits; then neither callback is run
      */
-    public Runnable submit(
-            String team, int priority, long deadline, Consumer<Permit> admitted, Consumer<ErrorCode> refused) {
+    public Runnable submit(Submission s, Consumer<Permit> admitted, Consumer<QueueRefusal> refused) {
         List<Callback> callbacks = new ArrayList<>(2);
-        SubmittedCall w = new SubmittedCall(new SubQueueKey(priority, team), deadline, admitted, refused);
+        SubmittedCall c;
         synchronized (this) {
-            if (running < slots && waiting == 0) {
-                running++;
-                callbacks.add(new Callback(w, new Permit(w.key()), null));
-            } else if (missesDeadline(deadline, waiting + 1)) {
-                callbacks.add(new Callback(w, null, ErrorCode.DEADLINE_NOT_RUN));
+            long expected = s.expectedNanos() > 0 ? s.expectedNanos() : (long) meanHoldNanos;
+            c = new SubmittedCall(submitted++, s, expected, admitted, refused);
+            if (running.size() < slots && waiting.size() == 0) {
+                admit(c, callbacks);
+            } else if (order == QueueOrder.DUE_DATE) {
+                submitByDueDate(c, callbacks);
+            } else if (s.deadline() - clock.nanoTime() < meanWaitNanos(waiting.size() + 1)) {
+                callbacks.add(refusal(c, ErrorCode.DEADLINE_NOT_RUN));
             } else {
-                enqueue(w, callbacks);
+                enqueue(c, callbacks);
             }
         }
         callbacks.forEach(Callback::run);
-        return () -> cancel(w);
+        return () -> cancel(c);
     }
 
-    private synchronized void cancel(SubmittedCall w) {
-        SubQueue q = subQueues.get(w.key());
-        if (q != null && q.calls.removeIf(x -> x == w)) {
-            waiting--;
+    // Predicts when the waiting calls and the new one start, and refuses those that would miss their deadlines. A
+    // refused
+    // call takes no slot, so those behind it are predicted to start earlier.
+    private void submitByDueDate(SubmittedCall c, List<Callback> callbacks) {
+        long now = clock.nanoTime();
+        SubQueues predicted = waiting.copyWith(c);
+        SlotSchedule schedule = new SlotSchedule(slots, now);
+        running.forEach(p -> schedule.addRunning(p.since, p.call.expectedNanos()));
+        boolean isRefused = false;
+        while (predicted.size() > 0) {
+            long start = schedule.nextStart();
+            SubmittedCall next = predicted.takeNext(start, meanHoldNanos);
+            boolean waitsTooLong = next == c && start - now > c.submission().maxWaitNanos();
+            if (next.missesDeadline(start) || waitsTooLong) {
+                ErrorCode code = next.missesDeadline(start) ? ErrorCode.DEADLINE_NOT_RUN : ErrorCode.QUEUE_FULL;
+                QueueRefusal r = new QueueRefusal(code, start - now, schedule.workNanos(), next.expectedNanos());
+                callbacks.add(new Callback(next, null, r));
+                waiting.remove(next);
+                isRefused |= next == c;
+            } else {
+                schedule.add(next.expectedNanos());
+                predicted.charge(next.submission(), next.expectedNanos());
+            }
         }
+        if (!isRefused) {
+            enqueue(c, callbacks);
+        }
+    }
+
+    private synchronized void cancel(SubmittedCall c) {
+        waiting.remove(c);
     }
 
     /**
@@ -175,11 +199,7 @@
     public void refuseAll(ErrorCode reason) {
         List<Callback> callbacks = new ArrayList<>();
         synchronized (this) {
-            for (SubQueue q : subQueues.values()) {
-                q.calls.forEach(w -> callbacks.add(new Callback(w, null, reason)));
-                q.calls.clear();
-            }
-            waiting = 0;
+            waiting.drainTo(c -> callbacks.add(refusal(c, reason)));
         }
         callbacks.forEach(Callback::run);
     }
@@ -190,7 +210,7 @@
      * @return the number
      */
     public synchronized int load() {
-        return running + waiting;
+        return running.size() + waiting.size();
     }
 
     /**
@@ -199,17 +219,16 @@
      * @return the number
      */
     public synchronized int running() {
-        return running;
+        return running.size();
     }
 
     /**
-     * Estimates the time after which a new call would get a slot.
+     * Estimates the time after which a new call would get a slot, from the mean time that calls hold a slot.
      *
      * @return milliseconds, at least {@link #MIN_WAIT_MILLIS}
      */
     public synchronized long estimatedWaitMillis() {
-        long ms = (long) (meanHoldNanos * (waiting + 1) / Math.max(1, slots) / 1e6);
-        return Math.max(MIN_WAIT_MILLIS, ms);
+        return Math.max(MIN_WAIT_MILLIS, (long) (meanWaitNanos(waiting.size() + 1) / 1e6));
     }
 
     /**
@@ -221,96 +240,62 @@
         return meanHoldNanos / 1e6;
     }
 
-    private void enqueue(SubmittedCall w, List<Callback> callbacks) {
-        SubQueue q = subQueues.computeIfAbsent(w.key(), k -> new SubQueue());
-        if (waiting >= capacity) {
-            SubQueueKey dropFrom = findSubQueueToDropFrom();
-            boolean isLessUrgent =
-                    dropFrom != null && dropFrom.priority() > w.key().priority();
-            boolean isLonger = dropFrom != null
-                    && dropFrom.priority() == w.key().priority()
-                    && subQueues.get(dropFrom).calls.size() > q.calls.size() + 1;
-            if (!isLessUrgent && !isLonger) {
-                callbacks.add(new Callback(w, null, ErrorCode.QUEUE_FULL));
+    private void enqueue(SubmittedCall c, List<Callback> callbacks) {
+        if (waiting.size() >= capacity) {
+            SubmittedCall dropped = waiting.makeRoomFor(c, clock.nanoTime());
+            callbacks.add(refusal(dropped == null ? c : dropped, ErrorCode.QUEUE_FULL));
+            if (dropped == null) {
                 return;
             }
-            callbacks.add(new Callback(subQueues.get(dropFrom).calls.pollLast(), null, ErrorCode.QUEUE_FULL));
-            waiting--;
         }
-        if (q.calls.isEmpty()) {
-            q.usedNanos = Math.max(q.usedNanos, minUsedNanosOnArrival);
+        waiting.add(c);
+    }
+
+    private Callback refusal(SubmittedCall c, ErrorCode code) {
+        return new Callback(
+                c, null, new QueueRefusal(code, (long) meanWaitNanos(waiting.size() + 1), 0, c.expectedNanos()));
+    }
+
+    private void admit(SubmittedCall c, List<Callback> callbacks) {
+        Permit p = new Permit(c);
+        running.add(p);
+        if (order == QueueOrder.DUE_DATE && waiting.charge(c.submission(), c.expectedNanos())) {
+            p.chargedNanos = c.expectedNanos();
         }
-        q.calls.add(w);
-        waiting++;
+        callbacks.add(new Callback(c, p, null));
     }
 
     private void releaseSlot(Permit permit) {
         List<Callback> callbacks = new ArrayList<>(2);
         synchronized (this) {
-            if (permit.released) {
+            if (!running.remove(permit)) {
                 return;
             }
-            permit.released = true;
-            running--;
             double nanos = clock.nanoTime() - permit.since;
             meanHoldNanos = meanHoldNanos == 0 ? nanos : meanHoldNanos + SMOOTHING * (nanos - meanHoldNanos);
-            SubQueue q = subQueues.get(permit.key);
-            if (q != null) {
-                q.usedNanos += nanos;
-            }
+            waiting.charge(permit.call.submission(), nanos - permit.chargedNanos);
             admitWaiting(callbacks);
-            if (subQueues.size() > MAX_REMEMBERED_SUB_QUEUES) {
-                subQueues.values().removeIf(x -> x.calls.isEmpty());
-            }
+            waiting.forgetIdle();
         }
         callbacks.forEach(Callback::run);
     }
 
     private void admitWaiting(List<Callback> callbacks) {
-        while (running < slots && waiting > 0) {
-            SubQueue next = null;
-            int priority = Integer.MAX_VALUE;
-            for (Map.Entry<SubQueueKey, SubQueue> e : subQueues.entrySet()) {
-                SubQueue q = e.getValue();
-                int p = e.getKey().priority();
-                boolean first = next == null || p < priority || (p == priority && q.usedNanos < next.usedNanos);
-                if (!q.calls.isEmpty() && first) {
-                    next = q;
-                    priority = p;
-                }
-            }
-            SubmittedCall w = next.calls.poll();
-            waiting--;
-            minUsedNanosOnArrival = Math.max(minUsedNanosOnArrival, next.usedNanos);
-            if (missesDeadline(w.deadline(), 0)) {
-                callbacks.add(new Callback(w, null, ErrorCode.DEADLINE_NOT_RUN));
+        long now = clock.nanoTime();
+        while (running.size() < slots && waiting.size() > 0) {
+            SubmittedCall c = waiting.takeNext(now, meanHoldNanos);
+            boolean missesDeadline = order == QueueOrder.DUE_DATE
+                    ? c.missesDeadline(now)
+                    : c.submission().deadline() - now < 0;
+            if (missesDeadline) {
+                callbacks.add(refusal(c, ErrorCode.DEADLINE_NOT_RUN));
             } else {
-                running++;
-                callbacks.add(new Callback(w, new Permit(w.key()), null));
+                admit(c, callbacks);
             }
         }
     }
 
-    private boolean missesDeadline(long deadline, int callsToEnd) {
-        double wait = meanHoldNanos * callsToEnd / Math.max(1, slots);
-        return deadline - clock.nanoTime() < wait;
-    }
-
-    // Returns the sub-queue that loses a call when the queue is full: the one of the least urgent priority, and of
-    // these the one with the most waiting calls.
-    private SubQueueKey findSubQueueToDropFrom() {
-        SubQueueKey out = null;
-        for (Map.Entry<SubQueueKey, SubQueue> e : subQueues.entrySet()) {
-            int size = e.getValue().calls.size();
-            int priority = e.getKey().priority();
-            boolean dropsFirst = out == null
-                    || priority > out.priority()
-                    || (priority == out.priority()
-                            && size > subQueues.get(out).calls.size());
-            if (size > 0 && dropsFirst) {
-                out = e.getKey();
-            }
-        }
-        return out;
+    private double meanWaitNanos(int callsToEnd) {
+        return meanHoldNanos * callsToEnd / Math.max(1, slots);
     }
 }
--- a/core/src/test/java/io/fuchsiastand/queue/FairQueueTest.java
+++ b/core/src/test/java/io/fuchsiastand/queue/FairQueueTest.java
@@ -118,14 +118,12 @@
         for (String call : List.of("2 first", "2 second", "2 third", "1 late", "0 last")) {
             int priority = call.charAt(0) - '0';
             q.submit(
-                    "team",
-                    priority,
-                    NO_DEADLINE,
+                    Submission.builder("team", NO_DEADLINE).priority(priority).build(),
                     permit -> {
                         order.add(call);
                         permits.add(permit);
                     },
-                    code -> order.add(call + " refused"));
+                    r -> order.add(call + " refused"));
         }
         permits.get(0).release();
         permits.get(1).release();
--- a/daemon/src/main/java/io/fuchsiastand/daemon/Daemon.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/Daemon.java
@@ -130,7 +130,7 @@
         platform = new PlatformController(board, store, limits, configuration::missingChunks);
         RequestLog log = new RequestLog(clock);
         owner = new OwnerService(
-                backends::find, backends::leave, clock, settings.host(), conventions, log, transport.timer());
+                backends::find, backends::leave, clock, settings.host(), conventions, log, metrics, transport.timer());
         RetryBudgets retryBudgets = new RetryBudgets(board, peers, backends::retryShare);
         Dispatcher dispatcher =
                 new Dispatcher(board, peers, owner, metrics, conventions, log, retryBudgets, transport.timer());
--- a/daemon/src/main/java/io/fuchsiastand/daemon/Warmup.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/Warmup.java
@@ -13,9 +13,11 @@
 import io.fuchsiastand.daemon.http.HeaderConventions;
 import io.fuchsiastand.daemon.http.HeaderNames;
 import io.fuchsiastand.daemon.http.Transport;
+import io.fuchsiastand.daemon.metrics.Metrics;
 import io.fuchsiastand.daemon.metrics.RequestLog;
 import io.fuchsiastand.daemon.owner.LocalBackend;
 import io.fuchsiastand.daemon.owner.OwnerService;
+import io.fuchsiastand.queue.QueueOrder;
 import io.fuchsiastand.time.Clock;
 import io.servicetalk.concurrent.api.Completable;
 import io.servicetalk.concurrent.api.Publisher;
@@ -59,7 +61,8 @@
                             WARM_UP_NAME, WARM_UP_NAME, LOOPBACK, port(echo), CONCURRENT_CALLS, 60),
                     new Service(WARM_UP_NAME, 0, TIME_LIMIT, CONCURRENT_CALLS, Detection.CAREFUL, List.of()),
                     echoClient,
-                    clock);
+                    clock,
+                    QueueOrder.ARRIVAL);
             OwnerService owner = new OwnerService(
                     id -> Optional.of(backend),
                     b -> {},
@@ -67,6 +70,7 @@
                     WARM_UP_NAME,
                     HeaderConventions.DEFAULT,
                     new RequestLog(clock),
+                    new Metrics(),
                     transport.timer());
             try (ServerContext server = transport.plainServer(owner);
                     StreamingHttpClient client = transport.backendClient(LOOPBACK, port(server))) {
--- a/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/CallAttempts.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/CallAttempts.java
@@ -23,6 +23,11 @@
     // server.
     static final int ATTEMPT_LIMIT = 8;
 
+    // After this number of candidates whose queues would let the call wait too long, it waits at the best of them. More
+    // candidates add little to the choice (the power of d choices).
+    private static final int MAX_QUEUES_ASKED = 3;
+
+    private static final long NANOS_PER_MILLI = 1_000_000;
     private static final int LARGE_BODY_BYTES = 16 * 1024;
 
     final RoutedRequest routed;
@@ -42,6 +47,10 @@
     // Of the candidates whose circuit breaker rejected the request, the one with the lowest probability of a fault.
     private Candidate lastResortCandidate;
     double minFaultProbability = 1;
+    // Of the candidates whose queues would let the request wait too long, the one with the shortest expected wait.
+    private Candidate shortestQueue;
+    private long shortestQueueMillis;
+    private int queuesAsked;
     // Whether the request is sent to the last resort candidate, regardless of its circuit breaker.
     boolean lastResort;
     // Whether the current attempt is a trial call to a backend server that is out of rotation.
@@ -82,6 +91,26 @@
         }
     }
 
+    // Records that a request would wait too long for a slot of a candidate.
+    void recordQueueFull(Candidate c, long waitMillis) {
+        queuesAsked++;
+        if (shortestQueue == null || waitMillis < shortestQueueMillis) {
+            shortestQueue = c;
+            shortestQueueMillis = waitMillis;
+        }
+    }
+
+    boolean hasAskedEnough() {
+        return attempts > ATTEMPT_LIMIT || queuesAsked >= MAX_QUEUES_ASKED;
+    }
+
+    // Whether the request can still wait at the candidate with the shortest queue.
+    private boolean canWait() {
+        return shortestQueue != null
+                && !lastResort
+                && clock.nanoTime() + shortestQueueMillis * NANOS_PER_MILLI - routed.deadline() < 0;
+    }
+
     // Records a refusal by the daemon of a candidate's host.
     void recordRefusal(long waitMillis, boolean isRateLimited) {
         rateLimited |= isRateLimited;
@@ -132,6 +161,10 @@
     }
 
     Optional<Candidate> takeLastResort() {
+        if (canWait()) {
+            lastResort = true;
+            return Optional.of(shortestQueue);
+        }
         if (!hasLastResort()) {
             return Optional.empty();
         }
@@ -148,7 +181,7 @@
             return false;
         }
         if (notSent) {
-            return isInFirstHalf() && (attempts < ATTEMPT_LIMIT || hasLastResort());
+            return canWait() || (isInFirstHalf() && (attempts < ATTEMPT_LIMIT || hasLastResort()));
         }
         if (attempts >= ATTEMPT_LIMIT) {
             return false;
--- a/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/Dispatcher.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/Dispatcher.java
@@ -221,7 +221,7 @@
         Optional<Candidate> forTrial =
                 a.mayTry() ? board.directory().pickForTrial(a.service, ThreadLocalRandom.current()) : Optional.empty();
         a.trial = forTrial.isPresent();
-        Optional<Candidate> picked = forTrial.or(() -> a.attempts > CallAttempts.ATTEMPT_LIMIT
+        Optional<Candidate> picked = forTrial.or(() -> a.hasAskedEnough()
                         ? Optional.empty()
                         : board.directory()
                                 .pick(a.service, a.tried, a.maxLocalUtilisation(), ThreadLocalRandom.current()))
@@ -288,6 +288,9 @@
                 attempt.endFailed(-1);
             }
             a.recordRefusal(r.retryAfterMillis(), rateLimited);
+            if (r.code() == ErrorCode.QUEUE_FULL && r.isNotSent()) {
+                recordQueueFull(a, attempt, r.retryAfterMillis());
+            }
             attempt.recordTrial(!r.isNotSent());
             a.recordFaultProbability(attempt.candidate(), r.faultProbability());
             return onRefusal(a, r);
@@ -406,6 +409,9 @@
         long waitMillis = HeaderNames.parseLong(h.get(HeaderNames.WAIT), 0);
         boolean rateLimited = h.contains(HeaderNames.RATE_LIMITED);
         a.recordRefusal(waitMillis, rateLimited);
+        if (h.contains(HeaderNames.QUEUE_FULL)) {
+            recordQueueFull(a, attempt, waitMillis);
+        }
         if (rateLimited) {
             attempt.endRateLimited(waitMillis);
         } else {
@@ -413,6 +419,12 @@
         }
     }
 
+    private void recordQueueFull(CallAttempts a, Attempt attempt, long waitMillis) {
+        if (board.settings().scheduling().deadlineOrder()) {
+            a.recordQueueFull(attempt.candidate(), waitMillis);
+        }
+    }
+
     private void logRefusalByOwner(CallAttempts a, StreamingHttpResponse r, boolean notRun) {
         CharSequence refusedBy = r.headers().get(HeaderNames.REFUSED_BY);
         if (refusedBy != null) {
--- a/daemon/src/main/java/io/fuchsiastand/daemon/http/HeaderNames.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/http/HeaderNames.java
@@ -60,6 +60,11 @@
      * daemons.
      */
     public static final String RATE_LIMITED = "fuchsiastand-rate-limited";
+    /**
+     * Marks a response to a call that was not sent because it would have waited too long for a slot; used only between
+     * daemons.
+     */
+    public static final String QUEUE_FULL = "fuchsiastand-queue-full";
     /** Whether a backend server is about to leave its service; set to 1 in its responses and between daemons. */
     public static final String LEAVING = "fuchsiastand-leaving";
     /** Marks a call for which no other backend server is left; used only between daemons. */
--- a/daemon/src/main/java/io/fuchsiastand/daemon/metrics/Metrics.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/metrics/Metrics.java
@@ -20,6 +20,7 @@
 public final class Metrics {
 
     private static final int MAX_TEAMS = 200;
+    private static final int MAX_PRIORITY = 9;
     private static final String OTHER_TEAMS = "other";
     private static final Duration[] LATENCY_BUCKETS = {
         Duration.ofMillis(1),
@@ -37,6 +38,8 @@
     private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     private final Map<CallTags, Timer> timers = new ConcurrentHashMap<>();
     private final Map<RefusalTags, Counter> refusals = new ConcurrentHashMap<>();
+    private final Map<QueueTags, Counter> queueRefusals = new ConcurrentHashMap<>();
+    private final Map<Integer, Timer> queueWaits = new ConcurrentHashMap<>();
     private final Counter retries = registry.counter("fuchsiastand_retries");
     private final Counter retriesOverBudget = registry.counter("fuchsiastand_retries_over_budget");
     private final Set<String> teams = ConcurrentHashMap.newKeySet();
@@ -45,6 +48,8 @@
 
     private record RefusalTags(String team, String code) {}
 
+    private record QueueTags(int priority, String code) {}
+
     /**
      * Records the latency of a call that ended with a response from a backend server, or with a response in which another
      * daemon refused the call or reported its failure.
@@ -72,6 +77,45 @@
                 .increment();
     }
 
+    /**
+     * Records a call that got no slot of a backend server of this host.
+     *
+     * @param priority the priority of the call; those from {@value #MAX_PRIORITY} on are recorded as one
+     * @param code the error code
+     */
+    public void recordQueueRefusal(int priority, String code) {
+        queueRefusals
+                .computeIfAbsent(
+                        new QueueTags(priorityTag(priority), code),
+                        k -> registry.counter(
+                                "fuchsiastand_queue_refusals",
+                                "priority",
+                                Integer.toString(k.priority()),
+                                "code",
+                                k.code()))
+                .increment();
+    }
+
+    /**
+     * Records the wait of a call that got a slot of a backend server of this host.
+     *
+     * @param priority the priority of the call; those from {@value #MAX_PRIORITY} on are recorded as one
+     * @param nanos the wait in nanoseconds
+     */
+    public void recordQueueWait(int priority, long nanos) {
+        queueWaits
+                .computeIfAbsent(priorityTag(priority), k -> Timer.builder("fuchsiastand_queue_wait")
+                        .description("Time from the arrival of a call at the owner to its slot")
+                        .tag("priority", Integer.toString(k))
+                        .serviceLevelObjectives(LATENCY_BUCKETS)
+                        .register(registry))
+                .record(nanos, TimeUnit.NANOSECONDS);
+    }
+
+    private static int priorityTag(int priority) {
+        return Math.max(-1, Math.min(MAX_PRIORITY, priority));
+    }
+
     /** Records a further attempt of a request, also after an attempt that reached no backend server. */
     public void recordRetry() {
         retries.increment();
--- a/daemon/src/main/java/io/fuchsiastand/daemon/owner/BackendController.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/owner/BackendController.java
@@ -17,6 +17,7 @@
 import io.fuchsiastand.error.ErrorCode;
 import io.fuchsiastand.error.FuchsiastandException;
 import io.fuchsiastand.protocol.Record;
+import io.fuchsiastand.queue.QueueOrder;
 import io.fuchsiastand.replication.RecordStore;
 import io.fuchsiastand.routing.BackendServer;
 import io.fuchsiastand.routing.BackendState;
@@ -166,7 +167,11 @@
                 .toList()
                 .forEach(b -> remove(b, callbacks));
         LocalBackend added = new LocalBackend(
-                a, service(a.service()), transport.backendClient(a.address(), a.port()), board.clock());
+                a,
+                service(a.service()),
+                transport.backendClient(a.address(), a.port()),
+                board.clock(),
+                board.settings().scheduling().deadlineOrder() ? QueueOrder.DUE_DATE : QueueOrder.ARRIVAL);
         backends.put(a.id(), added);
         Logger.info("added backend server {} of service {}, born {}", a.id(), a.service(), a.born());
         if (a.draining() || draining) {
--- a/daemon/src/main/java/io/fuchsiastand/daemon/owner/LocalBackend.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/owner/LocalBackend.java
@@ -14,6 +14,7 @@
 import io.fuchsiastand.health.TrialPacer;
 import io.fuchsiastand.limit.BackendRateLimit;
 import io.fuchsiastand.queue.FairQueue;
+import io.fuchsiastand.queue.QueueOrder;
 import io.fuchsiastand.routing.BackendServer;
 import io.fuchsiastand.routing.BackendState;
 import io.fuchsiastand.time.Clock;
@@ -202,13 +203,15 @@
      * @param service the settings of its service
      * @param client the client that connects to it
      * @param clock the clock
+     * @param order the order in which its calls wait
      */
-    public LocalBackend(Announcement announcement, Service service, StreamingHttpClient client, Clock clock) {
+    public LocalBackend(
+            Announcement announcement, Service service, StreamingHttpClient client, Clock clock, QueueOrder order) {
         this.announcement = announcement;
         this.client = client;
         this.clock = clock;
         incarnation = announcement.born() == 0 ? clock.now().toEpochMilli() : announcement.born();
-        queue = new FairQueue(announcement.slots(), service.queue(), clock);
+        queue = new FairQueue(announcement.slots(), service.queue(), clock, order);
         health = new BackendHealth(service.detection(), clock.nanoTime());
         lastCallNanos = clock.nanoTime();
         renew(announcement);
--- a/daemon/src/main/java/io/fuchsiastand/daemon/owner/OwnerService.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/owner/OwnerService.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.random.RandomGenerator;
 
 import io.fuchsiastand.daemon.http.HalfCloseDetection;
 import io.fuchsiastand.daemon.http.HeaderConventions;
@@ -17,6 +18,7 @@
 import io.fuchsiastand.daemon.http.RefusalException;
 import io.fuchsiastand.daemon.http.RequestBodyDrain;
 import io.fuchsiastand.daemon.http.RequestCheck;
+import io.fuchsiastand.daemon.metrics.Metrics;
 import io.fuchsiastand.daemon.metrics.RequestLog;
 import io.fuchsiastand.error.ErrorCode;
 import io.fuchsiastand.health.Outcome;
@@ -24,7 +26,6 @@
 import io.fuchsiastand.routing.BackendState;
 import io.fuchsiastand.time.Clock;
 import io.servicetalk.concurrent.Executor;
-import io.servicetalk.concurrent.SingleSource;
 import io.servicetalk.concurrent.api.Single;
 import io.servicetalk.http.api.HttpHeaders;
 import io.servicetalk.http.api.HttpServiceContext;
@@ -35,11 +36,9 @@
 import io.servicetalk.http.api.StreamingHttpService;
 import io.servicetalk.transport.api.RetryableException;
 
-import static io.servicetalk.concurrent.api.Processors.newSingleProcessor;
 import static io.servicetalk.concurrent.api.Single.defer;
 import static io.servicetalk.concurrent.api.Single.failed;
 import static io.servicetalk.concurrent.api.Single.succeeded;
-import static io.servicetalk.concurrent.api.SourceAdapters.fromSource;
 
 /**
  * Runs calls on the backend servers of this host, for the ingress daemons. This daemon is called the owner of these backend
@@ -53,9 +52,6 @@
     private static final int MISDIRECTED_REQUEST = 421;
     private static final long NANOS_PER_MILLI = 1_000_000;
     private static final long MIN_RETRY_AFTER_MILLIS = 50;
-    // Maximum share of its remaining time that a call waits for a slot. The rest is left for an attempt at another
-    // backend server or for a retry by the caller.
-    private static final double MAX_QUEUE_WAIT_SHARE = 0.25;
 
     private final Function<String, Optional<LocalBackend>> backends;
     private final Consumer<LocalBackend> onLeaving;
@@ -64,6 +60,7 @@
     private final HeaderConventions conventions;
     private final RequestLog log;
     private final Executor timer;
+    private final SlotAdmission slots;
     private final AtomicInteger inFlight = new AtomicInteger();
 
     /**
@@ -75,6 +72,7 @@
      * @param host the name of this host
      * @param conventions the names of the headers that backend servers use
      * @param log the log of decisions about requests
+     * @param metrics the metrics of this daemon
      * @param timer runs the timeouts of calls
      */
     public OwnerService(
@@ -84,8 +82,10 @@
             String host,
             HeaderConventions conventions,
             RequestLog log,
+            Metrics metrics,
             Executor timer) {
         this.timer = timer;
+        slots = new SlotAdmission(clock, conventions, log, metrics, timer, RandomGenerator.getDefault());
         this.log = log;
         this.backends = backends;
         this.onLeaving = onLeaving;
@@ -138,6 +138,9 @@
         if (e.retryAfterMillis() > 0) {
             r.headers().set(HeaderNames.WAIT, Long.toString(e.retryAfterMillis()));
         }
+        if (e.code() == ErrorCode.QUEUE_FULL) {
+            r.headers().set(HeaderNames.QUEUE_FULL, "1");
+        }
         if (e.code() == ErrorCode.BACKEND_RATE_LIMITED) {
             r.headers().set(HeaderNames.RATE_LIMITED, "1");
             backends.apply(call.backend()).ifPresent(b -> setRateLimit(b, r.headers()));
@@ -164,7 +167,7 @@
         if (!backend.rateLimit().waitTime(clock.nanoTime()).isZero()) {
             return failed(rateLimited(backend));
         }
-        return defer(() -> acquireSlot(backend, call).flatMap(permit -> sendIfAllowed(backend, call, permit)));
+        return defer(() -> slots.acquire(backend, call).flatMap(permit -> sendIfAllowed(backend, call, permit)));
     }
 
     private Single<StreamingHttpResponse> sendIfAllowed(
@@ -226,58 +229,6 @@
                 ErrorCode.BACKEND_RATE_LIMITED, ErrorCode.BACKEND_RATE_LIMITED.title(), waitMillis);
     }
 
-    // A call without a team is on an open route. It is assumed to come from a backend server that runs another call.
-    // That call would fail too if this one were refused, so this one is more urgent than all calls of teams.
-    private static int priorityOf(BackendCall call) {
-        return call.team().isEmpty() ? -1 : call.priority();
-    }
-
-    // A permit that is granted after the call was cancelled is released at once.
-    private Single<FairQueue.Permit> acquireSlot(LocalBackend backend, BackendCall call) {
-        SingleSource.Processor<FairQueue.Permit, FairQueue.Permit> result = newSingleProcessor();
-        SlotRequest s = new SlotRequest();
-        s.setRemoval(backend.queue()
-                .submit(
-                        call.team(),
-                        priorityOf(call),
-                        call.deadline(),
-                        permit -> {
-                            if (s.grant(permit)) {
-                                result.onSuccess(permit);
-                            }
-                        },
-                        code -> {
-                            logNoSlot(backend, call, code);
-                            result.onError(RefusalException.notSent(
-                                    code, code.title(), backend.queue().estimatedWaitMillis()));
-                        }));
-        long maxWaitNanos = (long) (MAX_QUEUE_WAIT_SHARE * (call.deadline() - clock.nanoTime()));
-        return fromSource(result)
-                .beforeCancel(s::cancel)
-                .timeout(Duration.ofNanos(Math.max(1, maxWaitNanos)), timer)
-                .onErrorMap(TimeoutException.class, e -> {
-                    logNoSlot(backend, call, ErrorCode.QUEUE_FULL);
-                    return RefusalException.notSent(
-                            ErrorCode.QUEUE_FULL,
-                            "the call got no slot within a quarter of its time",
-                            backend.queue().estimatedWaitMillis());
-                });
-    }
-
-    private void logNoSlot(LocalBackend backend, BackendCall call, ErrorCode code) {
-        log.write(
-                "no slot",
-                idOf(call),
-                "server",
-                call.backend(),
-                "code",
-                code.code(),
-                "load",
-                backend.queue().load(),
-                "slots",
-                backend.announcement().slots());
-    }
-
     private Single<StreamingHttpResponse> send(LocalBackend backend, BackendCall call, FairQueue.Permit permit) {
         LocalBackend.InFlightCall c = backend.begin(permit, call);
         long left = call.deadline() - clock.nanoTime();
--- /dev/null
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/owner/SlotAdmission.java
@@ -0,0 +1,146 @@
+package io.fuchsiastand.daemon.owner;
+
+import java.time.Duration;
+import java.util.concurrent.TimeoutException;
+import java.util.random.RandomGenerator;
+
+import io.fuchsiastand.daemon.http.HeaderConventions;
+import io.fuchsiastand.daemon.http.RefusalException;
+import io.fuchsiastand.daemon.metrics.Metrics;
+import io.fuchsiastand.daemon.metrics.RequestLog;
+import io.fuchsiastand.error.ErrorCode;
+import io.fuchsiastand.queue.FairQueue;
+import io.fuchsiastand.queue.QueueOrder;
+import io.fuchsiastand.queue.QueueRefusal;
+import io.fuchsiastand.queue.RetrySpread;
+import io.fuchsiastand.queue.Submission;
+import io.fuchsiastand.time.Clock;
+import io.servicetalk.concurrent.Executor;
+import io.servicetalk.concurrent.SingleSource;
+import io.servicetalk.concurrent.api.Single;
+
+import static io.servicetalk.concurrent.api.Processors.newSingleProcessor;
+import static io.servicetalk.concurrent.api.SourceAdapters.fromSource;
+
+/** Waits for slots of backend servers on behalf of calls, and turns the refusals of queues into answers to callers. */
+final class SlotAdmission {
+
+    private static final long NANOS_PER_MILLI = 1_000_000;
+    // Maximum share of its remaining time that a call waits for a slot while it can be sent elsewhere. The rest is left
+    // for an attempt at another backend server or for a retry by the caller.
+    private static final double MAX_QUEUE_WAIT_SHARE = 0.25;
+
+    private final Clock clock;
+    private final HeaderConventions conventions;
+    private final RequestLog log;
+    private final Metrics metrics;
+    private final Executor timer;
+    private final RandomGenerator random;
+
+    SlotAdmission(
+            Clock clock,
+            HeaderConventions conventions,
+            RequestLog log,
+            Metrics metrics,
+            Executor timer,
+            RandomGenerator random) {
+        this.clock = clock;
+        this.conventions = conventions;
+        this.log = log;
+        this.metrics = metrics;
+        this.timer = timer;
+        this.random = random;
+    }
+
+    // A call without a team is on an open route. It is assumed to come from a backend server that runs another call.
+    // That call would fail too if this one were refused, so this one is more urgent than all calls of teams.
+    private static int priorityOf(BackendCall call) {
+        return call.team().isEmpty() ? -1 : call.priority();
+    }
+
+    // The time for which the call is expected to hold a slot.
+    private static long expectedNanos(LocalBackend backend) {
+        return (long) (backend.queue().meanHoldMillis() * NANOS_PER_MILLI);
+    }
+
+    /**
+     * Waits for a slot. A permit that is granted after the call was cancelled is released at once.
+     *
+     * @param backend the backend server
+     * @param call the call
+     * @return the permit for the slot, or a {@link RefusalException}
+     */
+    Single<FairQueue.Permit> acquire(LocalBackend backend, BackendCall call) {
+        SingleSource.Processor<FairQueue.Permit, FairQueue.Permit> result = newSingleProcessor();
+        SlotRequest s = new SlotRequest();
+        long start = clock.nanoTime();
+        Submission submission = Submission.builder(call.team(), call.deadline())
+                .priority(priorityOf(call))
+                .target(call.target())
+                .expectedNanos(expectedNanos(backend))
+                .maxWaitNanos(maxWaitNanos(backend, call, start))
+                .build();
+        s.setRemoval(backend.queue()
+                .submit(
+                        submission,
+                        permit -> {
+                            if (s.grant(permit)) {
+                                metrics.recordQueueWait(submission.priority(), clock.nanoTime() - start);
+                                result.onSuccess(permit);
+                            }
+                        },
+                        r -> result.onError(refusal(backend, call, r, r.code().title()))));
+        return fromSource(result)
+                .beforeCancel(s::cancel)
+                .timeout(Duration.ofNanos(Math.max(1, submission.maxWaitNanos())), timer)
+                .onErrorMap(TimeoutException.class, e -> refusalAfterWait(backend, call, submission));
+    }
+
+    // A call for which no other backend server is left waits as long as it can still finish by its deadline.
+    private static long maxWaitNanos(LocalBackend backend, BackendCall call, long now) {
+        long left = call.deadline() - now;
+        return backend.queue().order() == QueueOrder.DUE_DATE && call.lastResort()
+                ? left - expectedNanos(backend)
+                : (long) (MAX_QUEUE_WAIT_SHARE * left);
+    }
+
+    private RefusalException refusalAfterWait(LocalBackend backend, BackendCall call, Submission s) {
+        boolean wasLastResort = backend.queue().order() == QueueOrder.DUE_DATE && call.lastResort();
+        ErrorCode code = wasLastResort ? ErrorCode.DEADLINE_NOT_RUN : ErrorCode.QUEUE_FULL;
+        String detail = wasLastResort
+                ? "the call got no slot in time to finish by its deadline"
+                : "the call got no slot within a quarter of its time";
+        long waitNanos = backend.queue().estimatedWaitMillis() * NANOS_PER_MILLI;
+        return refusal(backend, call, new QueueRefusal(code, waitNanos, 0, s.expectedNanos()), detail);
+    }
+
+    private RefusalException refusal(LocalBackend backend, BackendCall call, QueueRefusal r, String detail) {
+        metrics.recordQueueRefusal(priorityOf(call), r.code().code());
+        log.write(
+                "no slot",
+                conventions.requestIdOf(call.request().headers()),
+                "server",
+                call.backend(),
+                "code",
+                r.code().code(),
+                "load",
+                backend.queue().load(),
+                "slots",
+                backend.announcement().slots(),
+                "wait ms",
+                r.waitNanos() / NANOS_PER_MILLI,
+                "work before ms",
+                r.workBeforeNanos() / NANOS_PER_MILLI,
+                "own work ms",
+                r.expectedNanos() / NANOS_PER_MILLI);
+        return RefusalException.notSent(r.code(), detail, retryAfterMillis(backend, call, r));
+    }
+
+    private long retryAfterMillis(LocalBackend backend, BackendCall call, QueueRefusal r) {
+        if (backend.queue().order() == QueueOrder.ARRIVAL) {
+            return backend.queue().estimatedWaitMillis();
+        }
+        long latest = call.deadline() - clock.nanoTime() - r.expectedNanos();
+        return RetrySpread.retryAfterMillis(r.waitNanos(), latest, random);
+    }
+}
