Answer 502 to a request that failed before it was refused

Callers got 503, which promises that a request has not run, for idempotent requests of which an earlier attempt had run at a backend server: the retry found no backend server, or one that refused it.

The dispatcher corrected the run state in the header and in the body, but left the status.

--- a/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/Dispatcher.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/Dispatcher.java
@@ -33,6 +33,7 @@
 import io.servicetalk.buffer.api.Buffer;
 import io.servicetalk.buffer.netty.BufferAllocators;
 import io.servicetalk.concurrent.Executor;
+import io.servicetalk.concurrent.api.Completable;
 import io.servicetalk.concurrent.api.Publisher;
 import io.servicetalk.concurrent.api.Single;
 import io.servicetalk.http.api.DefaultHttpHeadersFactory;
@@ -183,19 +184,35 @@
 
     private Single<StreamingHttpResponse> start(CallAttempts a) {
         budgets.recordRequest(a.service, a.routed);
-        // The result of the last attempt may state that the request has not run. That is corrected here if an earlier
-        // attempt may have run.
+        // The result of the last attempt may state that the request has not run, by its status as well. It is replaced
+        // by a
+        // failure if an earlier attempt may have run.
         return nextAttempt(a)
                 .afterFinally(() -> logExhaustedBudget(a))
-                .onErrorMap(RefusalException.class, r -> a.mayHaveRun && r.isNotRun() ? r.withUnknownRunState() : r)
-                .map(r -> {
+                .onErrorMap(
+                        RefusalException.class, r -> a.mayHaveRun && r.isNotRun() ? failedBefore(r.getMessage(), r) : r)
+                .flatMap(r -> {
                     if (a.mayHaveRun && HeaderNames.isNotRun(r.headers())) {
-                        r.headers().set(HeaderNames.RUN_STATE, HeaderNames.UNKNOWN);
+                        return drain(r).concat(failed(failedBefore(
+                                "a backend server refused it with status "
+                                        + r.status().code(),
+                                null)));
                     }
-                    return r;
+                    return succeeded(r);
                 });
     }
 
+    private static RefusalException failedBefore(String lastRefusal, Throwable cause) {
+        return RefusalException.mayHaveRun(
+                ErrorCode.BACKEND_FAILED,
+                "a backend server failed; then the request was refused: " + lastRefusal,
+                cause);
+    }
+
+    private Completable drain(StreamingHttpResponse r) {
+        return r.messageBody().ignoreElements().timeout(MAX_DRAIN_TIME, timer).onErrorComplete();
+    }
+
     // If the chosen service of the split lacks capacity, the request is refused and not sent to another service.
     private String chooseService(RoutedRequest routed) {
         List<WeightedService> split = routed.match().route().split();
@@ -349,15 +366,7 @@
             return passOn(a, r, notRun, notSent);
         }
         return retryOr(
-                a,
-                notRun,
-                notSent,
-                () -> r.messageBody()
-                        .ignoreElements()
-                        .timeout(MAX_DRAIN_TIME, timer)
-                        .onErrorComplete()
-                        .concat(defer(() -> retry(a))),
-                () -> passOn(a, r, notRun, notSent));
+                a, notRun, notSent, () -> drain(r).concat(defer(() -> retry(a))), () -> passOn(a, r, notRun, notSent));
     }
 
     // Retries if that is allowed, with a retry of another daemon if the budget of this one is used up.
--- a/daemon/src/main/java/io/fuchsiastand/daemon/http/RefusalException.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/http/RefusalException.java
@@ -108,15 +108,6 @@
         return new RefusalException(code, detail, false, 0, cause);
     }
 
-    /**
-     * Returns a copy of this refusal for a call that may have run in an earlier attempt.
-     *
-     * @return a refusal with the same code and detail, which does not state that the call did not run
-     */
-    public RefusalException withUnknownRunState() {
-        return new RefusalException(code(), getMessage(), false, retryAfterMillis, getCause());
-    }
-
     /**
      * Returns a copy of this refusal with another time after which the caller may retry.
      *
