Refuse requests before they start if their calls would find no room

What callers saw: a request at the first service of a chain ran, one of its calls to a service further down was refused, and it failed. Its work was lost, and a request that is not idempotent could not be repeated.

Cause: nothing decides about a request as a whole. The daemon learnt neither which calls a request makes nor whether they find room.

Change: the owner learns by route which calls the backend servers of its host make (CallGraph), measures by priority which calls find no slot at them (RoomMeter) and publishes that with its answers. With what it hears of other owners and how the calls of its backend servers end (RoomEstimates), it refuses new requests of teams in proportion to the shortage, the less urgent and the hot team first (AdmissionControl). Calls of running requests, repeats, trial calls and last resorts are never refused by it.

--- a/core/src/main/java/io/fuchsiastand/error/ErrorCode.java
+++ b/core/src/main/java/io/fuchsiastand/error/ErrorCode.java
@@ -79,6 +79,8 @@
     DEADLINE("FS-5041", 504, "The deadline passed while the request ran"),
     /** The backend server named a rate limit, which does not allow the call now. */
     BACKEND_RATE_LIMITED("FS-5042", 503, "The backend servers of this service take no more calls for now"),
+    /** A service that the request is expected to call has no room, so the request is refused before it starts. */
+    NO_ROOM_FOR_CALLS("FS-5043", 503, "A service that the request would call has no room"),
     /** The settings of a program are invalid. */
     SETTINGS("FS-9001", 0, "The settings are wrong"),
     /** The configuration that operators provide is invalid. */
--- a/daemon/src/main/java/io/fuchsiastand/daemon/Daemon.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/Daemon.java
@@ -12,6 +12,7 @@
 
 import io.fuchsiastand.daemon.admin.AdminService;
 import io.fuchsiastand.daemon.admin.FleetStatus;
+import io.fuchsiastand.daemon.admission.RequestAdmission;
 import io.fuchsiastand.daemon.board.Blackboard;
 import io.fuchsiastand.daemon.board.Lifecycle;
 import io.fuchsiastand.daemon.board.Settings;
@@ -129,8 +130,7 @@
         join = new JoinController(board, store, gossip, configurationWatch.isPresent() ? tokenIssuers::tick : () -> {});
         platform = new PlatformController(board, store, limits, configuration::missingChunks);
         RequestLog log = new RequestLog(clock);
-        owner = new OwnerService(
-                backends::find, backends::leave, clock, settings.host(), conventions, log, transport.timer());
+        owner = createOwner(conventions, log);
         RetryBudgets retryBudgets = new RetryBudgets(board, peers, backends::retryShare);
         Dispatcher dispatcher =
                 new Dispatcher(board, peers, owner, metrics, conventions, log, retryBudgets, transport.timer());
@@ -263,6 +263,21 @@
         return idempotency.isTransferComplete();
     }
 
+    private OwnerService createOwner(HeaderConventions conventions, RequestLog log) {
+        Settings settings = board.settings();
+        RequestAdmission admission =
+                new RequestAdmission(settings.scheduling().admission(), board.clock(), conventions, log, metrics);
+        return new OwnerService(
+                backends::find,
+                backends::leave,
+                board.clock(),
+                settings.host(),
+                conventions,
+                log,
+                admission,
+                transport.timer());
+    }
+
     private void startControllers() {
         configuration.start();
         new KeyController(board).start();
--- a/daemon/src/main/java/io/fuchsiastand/daemon/Warmup.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/Warmup.java
@@ -10,9 +10,11 @@
 
 import io.fuchsiastand.config.Detection;
 import io.fuchsiastand.config.Service;
+import io.fuchsiastand.daemon.admission.RequestAdmission;
 import io.fuchsiastand.daemon.http.HeaderConventions;
 import io.fuchsiastand.daemon.http.HeaderNames;
 import io.fuchsiastand.daemon.http.Transport;
+import io.fuchsiastand.daemon.metrics.Metrics;
 import io.fuchsiastand.daemon.metrics.RequestLog;
 import io.fuchsiastand.daemon.owner.LocalBackend;
 import io.fuchsiastand.daemon.owner.OwnerService;
@@ -60,13 +62,15 @@
                     new Service(WARM_UP_NAME, 0, TIME_LIMIT, CONCURRENT_CALLS, Detection.CAREFUL, List.of()),
                     echoClient,
                     clock);
+            RequestLog log = new RequestLog(clock);
             OwnerService owner = new OwnerService(
                     id -> Optional.of(backend),
                     b -> {},
                     clock,
                     WARM_UP_NAME,
                     HeaderConventions.DEFAULT,
-                    new RequestLog(clock),
+                    log,
+                    new RequestAdmission(false, clock, HeaderConventions.DEFAULT, log, new Metrics()),
                     transport.timer());
             try (ServerContext server = transport.plainServer(owner);
                     StreamingHttpClient client = transport.backendClient(LOOPBACK, port(server))) {
--- a/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/Dispatcher.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/Dispatcher.java
@@ -12,6 +12,7 @@
 import java.util.function.Supplier;
 
 import io.fuchsiastand.config.WeightedService;
+import io.fuchsiastand.daemon.admission.RequestAdmission;
 import io.fuchsiastand.daemon.board.Blackboard;
 import io.fuchsiastand.daemon.board.Lifecycle;
 import io.fuchsiastand.daemon.edge.RoutedRequest;
@@ -74,6 +75,7 @@
     private final Blackboard board;
     private final Peers peers;
     private final OwnerService owner;
+    private final RequestAdmission admission;
     private final Metrics metrics;
     private final HeaderConventions conventions;
     private final RequestLog log;
@@ -114,6 +116,7 @@
         this.board = board;
         this.peers = peers;
         this.owner = owner;
+        admission = owner.admission();
         this.metrics = metrics;
     }
 
@@ -185,7 +188,8 @@
         budgets.recordRequest(a.service, a.routed);
         // The result of the last attempt may state that the request has not run. That is corrected here if an earlier
         // attempt may have run.
-        return nextAttempt(a)
+        return admission
+                .followOutgoing(a.routed, a.service, nextAttempt(a))
                 .afterFinally(() -> logExhaustedBudget(a))
                 .onErrorMap(RefusalException.class, r -> a.mayHaveRun && r.isNotRun() ? r.withUnknownRunState() : r)
                 .map(r -> {
@@ -280,6 +284,10 @@
     }
 
     private Single<StreamingHttpResponse> onError(CallAttempts a, Attempt attempt, Throwable e) {
+        if (e instanceof RefusalException r && r.code() == ErrorCode.NO_ROOM_FOR_CALLS) {
+            attempt.endWithoutResult();
+            return failed(r);
+        }
         if (e instanceof RefusalException r) {
             boolean rateLimited = r.code() == ErrorCode.BACKEND_RATE_LIMITED;
             if (rateLimited) {
@@ -334,6 +342,12 @@
         boolean notSent = h.contains(HeaderNames.NOT_SENT);
         String server =
                 attempt.candidate().host() + '/' + attempt.candidate().server().id();
+        admission.hear(a.service, server, h);
+        if (h.contains(HeaderNames.REFUSED_BEFORE_START)) {
+            attempt.endWithoutResult();
+            a.recordRefusal(HeaderNames.parseLong(h.get(HeaderNames.WAIT), 0), false);
+            return passOn(a, r, true, true);
+        }
         ServerSummary.parse(h.get(HeaderNames.SUMMARY))
                 .ifPresent(x -> baseline(a.service).observe(server, x));
         boolean failed = notRun || (status >= SERVER_ERROR && status != NOT_IMPLEMENTED);
--- a/daemon/src/main/java/io/fuchsiastand/daemon/http/HeaderNames.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/http/HeaderNames.java
@@ -27,6 +27,13 @@
     public static final String BASELINE_SLOW = "fuchsiastand-baseline-slow";
     /** Number of calls that a backend server runs or that wait for it; used only between daemons. */
     public static final String LOAD = "fuchsiastand-load";
+    /** Shares of the calls to a backend server that found no room lately, by priority; used only between daemons. */
+    public static final String REFUSED_SHARES = "fuchsiastand-refused-shares";
+    /**
+     * Marks a response to a call that was not sent because a service further down has no room, so that no other backend server
+     * is tried; used only between daemons.
+     */
+    public static final String REFUSED_BEFORE_START = "fuchsiastand-refused-before-start";
     /** Recent health statistics of the backend server; used only between daemons. */
     public static final String SUMMARY = "fuchsiastand-summary";
     /** The service of the host on which a call began; used only between daemons. */
--- a/daemon/src/main/java/io/fuchsiastand/daemon/metrics/Metrics.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/metrics/Metrics.java
@@ -72,6 +72,16 @@
                 .increment();
     }
 
+    /**
+     * Records a request that its owner refused before it started, because a service that it would call has no room.
+     *
+     * @param service the service of the request
+     */
+    public void recordRefusedBeforeStart(String service) {
+        registry.counter("fuchsiastand_refused_before_start", "service", service)
+                .increment();
+    }
+
     /** Records a further attempt of a request, also after an attempt that reached no backend server. */
     public void recordRetry() {
         retries.increment();
--- a/daemon/src/main/java/io/fuchsiastand/daemon/owner/LocalBackend.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/owner/LocalBackend.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
 
+import io.fuchsiastand.admission.RoomMeter;
 import io.fuchsiastand.config.Service;
 import io.fuchsiastand.health.BackendHealth;
 import io.fuchsiastand.health.Baseline;
@@ -40,6 +41,7 @@
     private final BackendHealth health;
     private final FaultCircuitBreaker circuitBreaker = new FaultCircuitBreaker();
     private final TrialPacer ejectionTrials = new TrialPacer();
+    private final RoomMeter roomMeter;
     private final Clock clock;
     private final Map<Long, InFlightCall> calls = new ConcurrentHashMap<>();
     private final long incarnation;
@@ -210,6 +212,7 @@
         incarnation = announcement.born() == 0 ? clock.now().toEpochMilli() : announcement.born();
         queue = new FairQueue(announcement.slots(), service.queue(), clock);
         health = new BackendHealth(service.detection(), clock.nanoTime());
+        roomMeter = new RoomMeter(clock);
         lastCallNanos = clock.nanoTime();
         renew(announcement);
     }
@@ -241,6 +244,15 @@
         return queue;
     }
 
+    /**
+     * Returns the room meter.
+     *
+     * @return the meter of the calls that found no room
+     */
+    public RoomMeter roomMeter() {
+        return roomMeter;
+    }
+
     /**
      * Returns the health.
      *
--- a/daemon/src/main/java/io/fuchsiastand/daemon/owner/OwnerService.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/owner/OwnerService.java
@@ -10,6 +10,7 @@
 import java.util.function.Consumer;
 import java.util.function.Function;
 
+import io.fuchsiastand.daemon.admission.RequestAdmission;
 import io.fuchsiastand.daemon.http.HalfCloseDetection;
 import io.fuchsiastand.daemon.http.HeaderConventions;
 import io.fuchsiastand.daemon.http.HeaderNames;
@@ -63,6 +64,7 @@
     private final String host;
     private final HeaderConventions conventions;
     private final RequestLog log;
+    private final RequestAdmission admission;
     private final Executor timer;
     private final AtomicInteger inFlight = new AtomicInteger();
 
@@ -75,6 +77,7 @@
      * @param host the name of this host
      * @param conventions the names of the headers that backend servers use
      * @param log the log of decisions about requests
+     * @param admission decides whether requests start
      * @param timer runs the timeouts of calls
      */
     public OwnerService(
@@ -84,7 +87,9 @@
             String host,
             HeaderConventions conventions,
             RequestLog log,
+            RequestAdmission admission,
             Executor timer) {
+        this.admission = admission;
         this.timer = timer;
         this.log = log;
         this.backends = backends;
@@ -94,6 +99,15 @@
         this.conventions = conventions;
     }
 
+    /**
+     * Returns the admission of requests.
+     *
+     * @return what decides whether requests start
+     */
+    public RequestAdmission admission() {
+        return admission;
+    }
+
     /**
      * Returns the number of calls of other daemons that wait or run.
      *
@@ -138,6 +152,10 @@
         if (e.retryAfterMillis() > 0) {
             r.headers().set(HeaderNames.WAIT, Long.toString(e.retryAfterMillis()));
         }
+        backends.apply(call.backend()).ifPresent(b -> admission.writeRoom(b.roomMeter(), r.headers()));
+        if (e.code() == ErrorCode.NO_ROOM_FOR_CALLS) {
+            r.headers().set(HeaderNames.REFUSED_BEFORE_START, "1");
+        }
         if (e.code() == ErrorCode.BACKEND_RATE_LIMITED) {
             r.headers().set(HeaderNames.RATE_LIMITED, "1");
             backends.apply(call.backend()).ifPresent(b -> setRateLimit(b, r.headers()));
@@ -164,7 +182,12 @@
         if (!backend.rateLimit().waitTime(clock.nanoTime()).isZero()) {
             return failed(rateLimited(backend));
         }
-        return defer(() -> acquireSlot(backend, call).flatMap(permit -> sendIfAllowed(backend, call, permit)));
+        return defer(() -> {
+            admission.check(call);
+            return admission
+                    .measureRoom(call, backend.roomMeter(), acquireSlot(backend, call))
+                    .flatMap(permit -> sendIfAllowed(backend, call, permit));
+        });
     }
 
     private Single<StreamingHttpResponse> sendIfAllowed(
@@ -290,10 +313,11 @@
         CharSequence requestId = conventions.requestIdHeader().isEmpty()
                 ? null
                 : call.request().headers().get(conventions.requestIdHeader());
-        return reserveConnection(backend, call, requestId)
+        Single<StreamingHttpResponse> response = reserveConnection(backend, call, requestId)
                 .onErrorMap(e -> endAfterConnectError(c, e))
                 .flatMap(connection -> exchange(backend, call, c, connection, requestId))
                 .beforeCancel(() -> c.end(Outcome.CANCELLED));
+        return admission.follow(call, response);
     }
 
     private Single<ReservedStreamingHttpConnection> reserveConnection(
@@ -429,6 +453,7 @@
             h.set(HeaderNames.LEAVING, "1");
         }
         h.set(HeaderNames.LOAD, Integer.toString(backend.queue().load()));
+        admission.writeRoom(backend.roomMeter(), h);
         if (outcome == Outcome.SUCCESS) {
             log.countSuccess();
         } else {
