Refuse requests with a key first when too many are in flight

What callers saw: above most_in_flight, a daemon refused the calls of backend servers like any request, so requests that ran already failed.

Cause: the limit was checked before the route was known.

Change: requests on open routes, from which calls of backend servers cannot be told, may exceed the limit by a quarter; requests with a key are refused at the limit as before.

Measured: InFlightLimitTest failed before (503 in place of 200) and passes.

--- a/daemon/src/main/java/io/fuchsiastand/daemon/board/Settings.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/board/Settings.java
@@ -35,7 +35,8 @@
  * @param leaseTerms the terms of leases on shards
  * @param keysStaleAfter the time for which requests with a team key are accepted after the last contact with either the
  *     platform or a peer
- * @param maxInFlight the number of requests in flight above which further requests of callers are refused
+ * @param maxInFlight the number of requests in flight above which further requests with a key are refused; those without
+ *     one are refused above one and a quarter times this number
  * @param accessLog whether each request is logged
  * @param service the service of this host, whose backend servers send calls through this daemon, or empty
  * @param rules the limits that hold for the whole fleet, and the time within which a process must end after the signal
--- a/daemon/src/main/java/io/fuchsiastand/daemon/edge/CallerService.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/edge/CallerService.java
@@ -60,6 +60,12 @@
             EnumSet.of(ErrorCode.BAD_REQUEST, ErrorCode.BAD_PATH, ErrorCode.BODY_TOO_LARGE, ErrorCode.FIELDS_TOO_LARGE);
     private static final long MAX_DEADLINE_MILLIS = Duration.ofMinutes(10).toMillis();
 
+    private static final long OVERLOADED_RETRY_AFTER_MILLIS = 1000;
+    // Requests on open routes may exceed the limit of requests in flight by this part. They may come from backend
+    // servers
+    // that run other requests, which would fail if these were refused.
+    private static final int OPEN_REQUESTS_DIVISOR = 4;
+
     // A call waits for a token at most this part of the time until its deadline.
     private static final int MAX_TOKEN_WAIT_DIVISOR = 4;
 
@@ -178,8 +184,9 @@
             ErrorCode code = lifecycle == Lifecycle.STARTING ? ErrorCode.NOT_READY : ErrorCode.DRAINING;
             return failed(RefusalException.notRun(code, code.title(), RETRY_AFTER_MILLIS));
         }
-        if (inFlight.get() > board.settings().maxInFlight()) {
-            return failed(RefusalException.notRun(ErrorCode.OVERLOADED, ErrorCode.OVERLOADED.title(), 1000));
+        int limit = board.settings().maxInFlight();
+        if (inFlight.get() > limit + (limit + OPEN_REQUESTS_DIVISOR - 1) / OPEN_REQUESTS_DIVISOR) {
+            return failed(overloaded());
         }
         ActiveConfiguration active = board.configuration().get();
         if (active.configuration().version() == 0) {
@@ -196,6 +203,9 @@
         if (match.route().open()) {
             return dispatcher.apply(routed);
         }
+        if (inFlight.get() > limit) {
+            return failed(overloaded());
+        }
         team[0] = authenticate(active, request);
         Configuration c = active.configuration();
         String service = match.service().name();
@@ -208,6 +218,11 @@
         return acquire(c, authenticated, allowances, 0);
     }
 
+    private static RefusalException overloaded() {
+        return RefusalException.notRun(
+                ErrorCode.OVERLOADED, ErrorCode.OVERLOADED.title(), OVERLOADED_RETRY_AFTER_MILLIS);
+    }
+
     private Single<StreamingHttpResponse> acquire(Configuration c, RoutedRequest x, List<String> allowances, int next) {
         if (next == allowances.size()) {
             return dispatcher.apply(x);
