Look for room for calls of running requests until their deadline

What callers saw: a request failed because one of its calls was refused as not sent, although other owners had not been asked and half of the time of the call was left.

Cause: after half of its time, a call that was not sent is refused so that its caller can retry. A backend server that runs a request does not.

Change: calls without a team go on to the next owner until their deadline.

Measured: CallAttemptsTest failed before for such a call and passes.

--- a/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/CallAttempts.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/CallAttempts.java
@@ -69,8 +69,13 @@
     }
 
     // After an attempt that reached no backend server, another attempt starts only in the first half of the time
-    // until the deadline, so that the caller of a refused request has time to retry.
-    private boolean isInFirstHalf() {
+    // until the deadline, so that the caller of a refused request has time to retry. A call without a team is assumed
+    // to
+    // come from a backend server that runs another request, which fails if the call is refused.
+    private boolean hasTimeForAnotherOwner() {
+        if (routed.team().isEmpty()) {
+            return true;
+        }
         long now = clock.nanoTime();
         return now - startNanos < (routed.deadline() - startNanos) / 2;
     }
@@ -148,7 +153,7 @@
             return false;
         }
         if (notSent) {
-            return isInFirstHalf() && (attempts < ATTEMPT_LIMIT || hasLastResort());
+            return hasTimeForAnotherOwner() && (attempts < ATTEMPT_LIMIT || hasLastResort());
         }
         if (attempts >= ATTEMPT_LIMIT) {
             return false;
