Merge the admission of whole requests

SlotAdmission asks RequestAdmission before it lets a call wait, so that the owner has one collaborator for both.

--- a/daemon/src/main/java/io/fuchsiastand/daemon/Warmup.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/Warmup.java
@@ -7,9 +7,11 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.random.RandomGenerator;
 
 import io.fuchsiastand.config.Detection;
 import io.fuchsiastand.config.Service;
+import io.fuchsiastand.daemon.admission.RequestAdmission;
 import io.fuchsiastand.daemon.http.HeaderConventions;
 import io.fuchsiastand.daemon.http.HeaderNames;
 import io.fuchsiastand.daemon.http.Transport;
@@ -17,6 +19,7 @@
 import io.fuchsiastand.daemon.metrics.RequestLog;
 import io.fuchsiastand.daemon.owner.LocalBackend;
 import io.fuchsiastand.daemon.owner.OwnerService;
+import io.fuchsiastand.daemon.owner.SlotAdmission;
 import io.fuchsiastand.queue.QueueOrder;
 import io.fuchsiastand.time.Clock;
 import io.servicetalk.concurrent.api.Completable;
@@ -63,14 +66,23 @@
                     echoClient,
                     clock,
                     QueueOrder.ARRIVAL);
+            RequestLog log = new RequestLog(clock);
+            Metrics metrics = new Metrics();
             OwnerService owner = new OwnerService(
                     id -> Optional.of(backend),
                     b -> {},
                     clock,
                     WARM_UP_NAME,
                     HeaderConventions.DEFAULT,
-                    new RequestLog(clock),
-                    new Metrics(),
+                    log,
+                    new SlotAdmission(
+                            clock,
+                            HeaderConventions.DEFAULT,
+                            log,
+                            metrics,
+                            new RequestAdmission(false, clock, HeaderConventions.DEFAULT, log, metrics),
+                            transport.timer(),
+                            RandomGenerator.getDefault()),
                     transport.timer());
             try (ServerContext server = transport.plainServer(owner);
                     StreamingHttpClient client = transport.backendClient(LOOPBACK, port(server))) {
--- a/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/CallAttempts.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/CallAttempts.java
@@ -78,8 +78,13 @@
     }
 
     // After an attempt that reached no backend server, another attempt starts only in the first half of the time
-    // until the deadline, so that the caller of a refused request has time to retry.
-    private boolean isInFirstHalf() {
+    // until the deadline, so that the caller of a refused request has time to retry. A call without a team is assumed
+    // to
+    // come from a backend server that runs another request, which fails if the call is refused.
+    private boolean hasTimeForAnotherOwner() {
+        if (routed.team().isEmpty()) {
+            return true;
+        }
         long now = clock.nanoTime();
         return now - startNanos < (routed.deadline() - startNanos) / 2;
     }
@@ -172,6 +177,14 @@
         return Optional.of(lastResortCandidate);
     }
 
+    // The answer to a request that was refused after an attempt that failed at a backend server.
+    static RefusalException failedBefore(String lastRefusal, Throwable cause) {
+        return RefusalException.mayHaveRun(
+                ErrorCode.BACKEND_FAILED,
+                "a backend server failed; then the request was refused: " + lastRefusal,
+                cause);
+    }
+
     // Returns whether another attempt is allowed. If the failed attempt was sent to a backend server, adds it to
     // failedSends and, if another one is allowed, takes a retry from the budget. If it was not sent, the next one
     // is no retry for the service: failedSends and the budget do not change.
@@ -181,7 +194,7 @@
             return false;
         }
         if (notSent) {
-            return canWait() || (isInFirstHalf() && (attempts < ATTEMPT_LIMIT || hasLastResort()));
+            return canWait() || (hasTimeForAnotherOwner() && (attempts < ATTEMPT_LIMIT || hasLastResort()));
         }
         if (attempts >= ATTEMPT_LIMIT) {
             return false;
--- a/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/Dispatcher.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/Dispatcher.java
@@ -12,6 +12,7 @@
 import java.util.function.Supplier;
 
 import io.fuchsiastand.config.WeightedService;
+import io.fuchsiastand.daemon.admission.RequestAdmission;
 import io.fuchsiastand.daemon.board.Blackboard;
 import io.fuchsiastand.daemon.board.Lifecycle;
 import io.fuchsiastand.daemon.edge.RoutedRequest;
@@ -75,6 +76,7 @@
     private final Blackboard board;
     private final Peers peers;
     private final OwnerService owner;
+    private final RequestAdmission admission;
     private final Metrics metrics;
     private final HeaderConventions conventions;
     private final RequestLog log;
@@ -115,6 +117,7 @@
         this.board = board;
         this.peers = peers;
         this.owner = owner;
+        admission = owner.admission();
         this.metrics = metrics;
     }
 
@@ -185,15 +188,16 @@
     private Single<StreamingHttpResponse> start(CallAttempts a) {
         budgets.recordRequest(a.service, a.routed);
         // The result of the last attempt may state that the request has not run, by its status as well. It is replaced
-        // by a
-        // failure if an earlier attempt may have run.
-        return nextAttempt(a)
+        // by a failure if an earlier attempt may have run.
+        return admission
+                .followOutgoing(a.routed, a.service, nextAttempt(a))
                 .afterFinally(() -> logExhaustedBudget(a))
                 .onErrorMap(
-                        RefusalException.class, r -> a.mayHaveRun && r.isNotRun() ? failedBefore(r.getMessage(), r) : r)
+                        RefusalException.class,
+                        r -> a.mayHaveRun && r.isNotRun() ? CallAttempts.failedBefore(r.getMessage(), r) : r)
                 .flatMap(r -> {
                     if (a.mayHaveRun && HeaderNames.isNotRun(r.headers())) {
-                        return drain(r).concat(failed(failedBefore(
+                        return drain(r).concat(failed(CallAttempts.failedBefore(
                                 "a backend server refused it with status "
                                         + r.status().code(),
                                 null)));
@@ -202,13 +206,6 @@
                 });
     }
 
-    private static RefusalException failedBefore(String lastRefusal, Throwable cause) {
-        return RefusalException.mayHaveRun(
-                ErrorCode.BACKEND_FAILED,
-                "a backend server failed; then the request was refused: " + lastRefusal,
-                cause);
-    }
-
     private Completable drain(StreamingHttpResponse r) {
         return r.messageBody().ignoreElements().timeout(MAX_DRAIN_TIME, timer).onErrorComplete();
     }
@@ -297,6 +294,10 @@
     }
 
     private Single<StreamingHttpResponse> onError(CallAttempts a, Attempt attempt, Throwable e) {
+        if (e instanceof RefusalException r && r.code() == ErrorCode.NO_ROOM_FOR_CALLS) {
+            attempt.endWithoutResult();
+            return failed(r);
+        }
         if (e instanceof RefusalException r) {
             boolean rateLimited = r.code() == ErrorCode.BACKEND_RATE_LIMITED;
             if (rateLimited) {
@@ -354,6 +355,12 @@
         boolean notSent = h.contains(HeaderNames.NOT_SENT);
         String server =
                 attempt.candidate().host() + '/' + attempt.candidate().server().id();
+        admission.hear(a.service, server, h);
+        if (h.contains(HeaderNames.REFUSED_BEFORE_START)) {
+            attempt.endWithoutResult();
+            a.recordRefusal(HeaderNames.parseLong(h.get(HeaderNames.WAIT), 0), false);
+            return passOn(a, r, true, true);
+        }
         ServerSummary.parse(h.get(HeaderNames.SUMMARY))
                 .ifPresent(x -> baseline(a.service).observe(server, x));
         boolean failed = notRun || (status >= SERVER_ERROR && status != NOT_IMPLEMENTED);
--- a/daemon/src/main/java/io/fuchsiastand/daemon/owner/OwnerService.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/owner/OwnerService.java
@@ -9,8 +9,8 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import java.util.function.Function;
-import java.util.random.RandomGenerator;
 
+import io.fuchsiastand.daemon.admission.RequestAdmission;
 import io.fuchsiastand.daemon.http.HalfCloseDetection;
 import io.fuchsiastand.daemon.http.HeaderConventions;
 import io.fuchsiastand.daemon.http.HeaderNames;
@@ -18,7 +18,6 @@
 import io.fuchsiastand.daemon.http.RefusalException;
 import io.fuchsiastand.daemon.http.RequestBodyDrain;
 import io.fuchsiastand.daemon.http.RequestCheck;
-import io.fuchsiastand.daemon.metrics.Metrics;
 import io.fuchsiastand.daemon.metrics.RequestLog;
 import io.fuchsiastand.error.ErrorCode;
 import io.fuchsiastand.health.Outcome;
@@ -72,7 +71,7 @@
      * @param host the name of this host
      * @param conventions the names of the headers that backend servers use
      * @param log the log of decisions about requests
-     * @param metrics the metrics of this daemon
+     * @param slots lets calls wait for a slot of their backend server
      * @param timer runs the timeouts of calls
      */
     public OwnerService(
@@ -82,10 +81,10 @@
             String host,
             HeaderConventions conventions,
             RequestLog log,
-            Metrics metrics,
+            SlotAdmission slots,
             Executor timer) {
         this.timer = timer;
-        slots = new SlotAdmission(clock, conventions, log, metrics, timer, RandomGenerator.getDefault());
+        this.slots = slots;
         this.log = log;
         this.backends = backends;
         this.onLeaving = onLeaving;
@@ -94,6 +93,15 @@
         this.conventions = conventions;
     }
 
+    /**
+     * Returns the admission of requests.
+     *
+     * @return what decides whether requests start
+     */
+    public RequestAdmission admission() {
+        return slots.requests();
+    }
+
     /**
      * Returns the number of calls of other daemons that wait or run.
      *
@@ -141,6 +149,10 @@
         if (e.code() == ErrorCode.QUEUE_FULL) {
             r.headers().set(HeaderNames.QUEUE_FULL, "1");
         }
+        backends.apply(call.backend()).ifPresent(b -> slots.requests().writeRoom(b.roomMeter(), r.headers()));
+        if (e.code() == ErrorCode.NO_ROOM_FOR_CALLS) {
+            r.headers().set(HeaderNames.REFUSED_BEFORE_START, "1");
+        }
         if (e.code() == ErrorCode.BACKEND_RATE_LIMITED) {
             r.headers().set(HeaderNames.RATE_LIMITED, "1");
             backends.apply(call.backend()).ifPresent(b -> setRateLimit(b, r.headers()));
@@ -167,7 +179,7 @@
         if (!backend.rateLimit().waitTime(clock.nanoTime()).isZero()) {
             return failed(rateLimited(backend));
         }
-        return defer(() -> slots.acquire(backend, call).flatMap(permit -> sendIfAllowed(backend, call, permit)));
+        return slots.acquire(backend, call).flatMap(permit -> sendIfAllowed(backend, call, permit));
     }
 
     private Single<StreamingHttpResponse> sendIfAllowed(
@@ -241,10 +253,11 @@
         CharSequence requestId = conventions.requestIdHeader().isEmpty()
                 ? null
                 : call.request().headers().get(conventions.requestIdHeader());
-        return reserveConnection(backend, call, requestId)
+        Single<StreamingHttpResponse> response = reserveConnection(backend, call, requestId)
                 .onErrorMap(e -> endAfterConnectError(c, e))
                 .flatMap(connection -> exchange(backend, call, c, connection, requestId))
                 .beforeCancel(() -> c.end(Outcome.CANCELLED));
+        return slots.requests().follow(call, response);
     }
 
     private Single<ReservedStreamingHttpConnection> reserveConnection(
@@ -380,6 +393,7 @@
             h.set(HeaderNames.LEAVING, "1");
         }
         h.set(HeaderNames.LOAD, Integer.toString(backend.queue().load()));
+        slots.requests().writeRoom(backend.roomMeter(), h);
         if (outcome == Outcome.SUCCESS) {
             log.countSuccess();
         } else {
--- a/daemon/src/main/java/io/fuchsiastand/daemon/owner/SlotAdmission.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/owner/SlotAdmission.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.TimeoutException;
 import java.util.random.RandomGenerator;
 
+import io.fuchsiastand.daemon.admission.RequestAdmission;
 import io.fuchsiastand.daemon.http.HeaderConventions;
 import io.fuchsiastand.daemon.http.RefusalException;
 import io.fuchsiastand.daemon.metrics.Metrics;
@@ -20,10 +21,11 @@
 import io.servicetalk.concurrent.api.Single;
 
 import static io.servicetalk.concurrent.api.Processors.newSingleProcessor;
+import static io.servicetalk.concurrent.api.Single.defer;
 import static io.servicetalk.concurrent.api.SourceAdapters.fromSource;
 
 /** Waits for slots of backend servers on behalf of calls, and turns the refusals of queues into answers to callers. */
-final class SlotAdmission {
+public final class SlotAdmission {
 
     private static final long NANOS_PER_MILLI = 1_000_000;
     // Maximum share of its remaining time that a call waits for a slot while it can be sent elsewhere. The rest is left
@@ -34,20 +36,34 @@
     private final HeaderConventions conventions;
     private final RequestLog log;
     private final Metrics metrics;
+    private final RequestAdmission admission;
     private final Executor timer;
     private final RandomGenerator random;
 
-    SlotAdmission(
+    /**
+     * Creates the admission of calls to the backend servers of this host.
+     *
+     * @param clock the clock
+     * @param conventions the names of the headers that backend servers use
+     * @param log the log of decisions about requests
+     * @param metrics the metrics of this daemon
+     * @param admission decides whether requests start
+     * @param timer runs the timeouts of waiting calls
+     * @param random spreads the times after which refused callers return
+     */
+    public SlotAdmission(
             Clock clock,
             HeaderConventions conventions,
             RequestLog log,
             Metrics metrics,
+            RequestAdmission admission,
             Executor timer,
             RandomGenerator random) {
         this.clock = clock;
         this.conventions = conventions;
         this.log = log;
         this.metrics = metrics;
+        this.admission = admission;
         this.timer = timer;
         this.random = random;
     }
@@ -64,13 +80,29 @@
     }
 
     /**
-     * Waits for a slot. A permit that is granted after the call was cancelled is released at once.
+     * Returns the admission of requests.
+     *
+     * @return the admission, which is without effect if it is switched off
+     */
+    RequestAdmission requests() {
+        return admission;
+    }
+
+    /**
+     * Waits for a slot, if the request may start. A permit that is granted after the call was cancelled is released at once.
      *
      * @param backend the backend server
      * @param call the call
      * @return the permit for the slot, or a {@link RefusalException}
      */
     Single<FairQueue.Permit> acquire(LocalBackend backend, BackendCall call) {
+        return defer(() -> {
+            admission.check(call);
+            return admission.measureRoom(call, backend.roomMeter(), waitForSlot(backend, call));
+        });
+    }
+
+    private Single<FairQueue.Permit> waitForSlot(LocalBackend backend, BackendCall call) {
         SingleSource.Processor<FairQueue.Permit, FairQueue.Permit> result = newSingleProcessor();
         SlotRequest s = new SlotRequest();
         long start = clock.nanoTime();
