Let the last resort of a call wait behind a full queue

What callers saw: at a service with few backend servers, calls were refused while four calls waited for seven slots and the expected wait was 0.1 to 0.9 s, with 6 to 8 s left until their deadline.

Cause: the capacity of the queue counts calls, whatever their length. It spreads calls over the backend servers, but also bound those that could go nowhere else.

Change: a call for which no other backend server is left may wait beyond the capacity, up to four calls a slot, as long as it is expected to finish by its deadline. A refusal for lack of capacity reports the expected work before the call too.

--- a/core/src/main/java/io/fuchsiastand/queue/FairQueue.java
+++ b/core/src/main/java/io/fuchsiastand/queue/FairQueue.java
@@ -28,6 +28,7 @@
     /** The shortest wait that is reported to a refused caller, in milliseconds. */
     public static final long MIN_WAIT_MILLIS = 50;
 
+    private static final int LAST_RESORT_CALLS_PER_SLOT = 4;
     // Weight of the newest call in the moving average of the time that calls hold a slot.
     private static final double SMOOTHING = 0.1;
 
@@ -149,9 +150,9 @@
             } else if (order == QueueOrder.DUE_DATE) {
                 submitByDueDate(c, callbacks);
             } else if (s.deadline() - clock.nanoTime() < meanWaitNanos(waiting.size() + 1)) {
-                callbacks.add(refusal(c, ErrorCode.DEADLINE_NOT_RUN));
+                callbacks.add(new Callback(c, null, refusal(c, ErrorCode.DEADLINE_NOT_RUN)));
             } else {
-                enqueue(c, callbacks);
+                enqueue(c, refusal(c, ErrorCode.QUEUE_FULL), callbacks);
             }
         }
         callbacks.forEach(Callback::run);
@@ -166,24 +167,24 @@
         SubQueues predicted = waiting.copyWith(c);
         SlotSchedule schedule = new SlotSchedule(slots, now);
         running.forEach(p -> schedule.addRunning(p.since, p.call.expectedNanos()));
-        boolean isRefused = false;
+        QueueRefusal ifFull = null;
         while (predicted.size() > 0) {
             long start = schedule.nextStart();
             SubmittedCall next = predicted.takeNext(start, meanHoldNanos);
             boolean waitsTooLong = next == c && start - now > c.submission().maxWaitNanos();
+            ErrorCode code = next.missesDeadline(start) ? ErrorCode.DEADLINE_NOT_RUN : ErrorCode.QUEUE_FULL;
+            QueueRefusal r = new QueueRefusal(code, start - now, schedule.workNanos(), next.expectedNanos());
             if (next.missesDeadline(start) || waitsTooLong) {
-                ErrorCode code = next.missesDeadline(start) ? ErrorCode.DEADLINE_NOT_RUN : ErrorCode.QUEUE_FULL;
-                QueueRefusal r = new QueueRefusal(code, start - now, schedule.workNanos(), next.expectedNanos());
                 callbacks.add(new Callback(next, null, r));
                 waiting.remove(next);
-                isRefused |= next == c;
             } else {
+                ifFull = next == c ? r : ifFull;
                 schedule.add(next.expectedNanos());
                 predicted.charge(next.submission(), next.expectedNanos());
             }
         }
-        if (!isRefused) {
-            enqueue(c, callbacks);
+        if (ifFull != null) {
+            enqueue(c, ifFull, callbacks);
         }
     }
 
@@ -199,7 +200,7 @@
     public void refuseAll(ErrorCode reason) {
         List<Callback> callbacks = new ArrayList<>();
         synchronized (this) {
-            waiting.drainTo(c -> callbacks.add(refusal(c, reason)));
+            waiting.drainTo(c -> callbacks.add(new Callback(c, null, refusal(c, reason))));
         }
         callbacks.forEach(Callback::run);
     }
@@ -240,20 +241,30 @@
         return meanHoldNanos / 1e6;
     }
 
-    private void enqueue(SubmittedCall c, List<Callback> callbacks) {
-        if (waiting.size() >= capacity) {
-            SubmittedCall dropped = waiting.makeRoomFor(c, clock.nanoTime());
-            callbacks.add(refusal(dropped == null ? c : dropped, ErrorCode.QUEUE_FULL));
-            if (dropped == null) {
-                return;
-            }
+    private void enqueue(SubmittedCall c, QueueRefusal ifFull, List<Callback> callbacks) {
+        if (waiting.size() < capacityFor(c.submission())) {
+            waiting.add(c);
+            return;
+        }
+        SubmittedCall dropped = waiting.makeRoomFor(c, clock.nanoTime());
+        if (dropped == null) {
+            callbacks.add(new Callback(c, null, ifFull));
+        } else {
+            callbacks.add(new Callback(dropped, null, refusal(dropped, ErrorCode.QUEUE_FULL)));
+            waiting.add(c);
         }
-        waiting.add(c);
     }
 
-    private Callback refusal(SubmittedCall c, ErrorCode code) {
-        return new Callback(
-                c, null, new QueueRefusal(code, (long) meanWaitNanos(waiting.size() + 1), 0, c.expectedNanos()));
+    // The expected wait already limits calls that are ordered by due date. Those that can go elsewhere are still spread
+    // over the backend servers by the capacity.
+    private int capacityFor(Submission s) {
+        return order == QueueOrder.DUE_DATE && s.lastResort()
+                ? Math.max(capacity, slots * LAST_RESORT_CALLS_PER_SLOT)
+                : capacity;
+    }
+
+    private QueueRefusal refusal(SubmittedCall c, ErrorCode code) {
+        return new QueueRefusal(code, (long) meanWaitNanos(waiting.size() + 1), 0, c.expectedNanos());
     }
 
     private void admit(SubmittedCall c, List<Callback> callbacks) {
@@ -288,7 +299,7 @@
                     ? c.missesDeadline(now)
                     : c.submission().deadline() - now < 0;
             if (missesDeadline) {
-                callbacks.add(refusal(c, ErrorCode.DEADLINE_NOT_RUN));
+                callbacks.add(new Callback(c, null, refusal(c, ErrorCode.DEADLINE_NOT_RUN)));
             } else {
                 admit(c, callbacks);
             }
--- a/core/src/test/java/io/fuchsiastand/queue/DueDateQueueTest.java
+++ b/core/src/test/java/io/fuchsiastand/queue/DueDateQueueTest.java
@@ -53,6 +53,19 @@
         assertThat(refused.get("can go elsewhere").code()).isEqualTo(ErrorCode.QUEUE_FULL);
     }
 
+    // Load pattern: burst over too little room. Short calls fill a queue long before they make anybody late.
+    @Test
+    void callThatHasNoOtherBackendServerLeftWaitsBehindAFullQueueUpToFourCallsASlot() {
+        FairQueue full = new FairQueue(1, 1, clock, QueueOrder.DUE_DATE);
+        for (int i = 0; i < 3; i++) {
+            submit(full, "elsewhere " + i, call("a", 9000).expectedNanos(nanos(100)));
+        }
+        for (int i = 0; i < 4; i++) {
+            submit(full, "last resort " + i, call("a", 9000).lastResort(true).expectedNanos(nanos(100)));
+        }
+        assertThat(refused.keySet()).containsExactly("elsewhere 2", "last resort 3");
+    }
+
     // Load pattern: burst over too little room. A call that is served late must not make the next one late.
     @Test
     void callThatMissesItsTargetGoesBehindThoseThatCanMeetIt() {
@@ -148,7 +161,11 @@
     }
 
     private void submit(String name, Submission.Builder call) {
-        queue.submit(
+        submit(queue, name, call);
+    }
+
+    private void submit(FairQueue to, String name, Submission.Builder call) {
+        to.submit(
                 call.build(),
                 permit -> {
                     started.add(name);
