--- a/daemon/src/main/java/io/fuchsiastand/daemon/owner/SlotAdmission.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/owner/SlotAdmission.java
@@ -111,6 +111,7 @@
                 .target(call.target())
                 .expectedNanos(expectedNanos(backend))
                 .maxWaitNanos(maxWaitNanos(backend, call, start))
+                .lastResort(call.lastResort())
                 .build();
         s.setRemoval(backend.queue()
                 .submit(
