--- a/daemon/src/test/java/io/fuchsiastand/daemon/Fleet.java
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/Fleet.java
@@ -83,14 +83,14 @@
         this(size, "");
     }
 
-    // Starts daemons with further lines in the table of limits of their settings.
-    Fleet(int size, String limits) throws Exception {
+    // Starts daemons with further lines at the end of their settings, after those of the table of limits.
+    Fleet(int size, String furtherSettings) throws Exception {
         platform = new PlatformStandin("127.0.0.1", 0, objects);
         publish(TEAMS, PLANS);
         giveKey("zermatt", ZERMATT_KEY);
         for (int i = 0; i < size; i++) {
             settings.add(Settings.parse(
-                    "h" + i + ".toml", settingsFile(i, i == 0 ? "" : "127.0.0.1:" + peerPort(0)) + limits));
+                    "h" + i + ".toml", settingsFile(i, i == 0 ? "" : "127.0.0.1:" + peerPort(0)) + furtherSettings));
             daemons.add(new Daemon(settings.get(i)));
         }
         await("all daemons are ready and have found each other", () -> daemons.stream()
