Choose backend servers by the time after which a call is expected to end

Callers waited behind calls that cost five times as much as theirs, while other backend servers with as many calls were almost done: the choice counted calls and multiplied them by one mean latency. Owners now learn what each kind of call costs, and state with each answer how long the slots of the backend server are busy, by the mean residual life of running calls and the cost of waiting ones.

--- a/core/src/main/java/io/fuchsiastand/routing/Candidate.java
+++ b/core/src/main/java/io/fuchsiastand/routing/Candidate.java
@@ -6,6 +6,8 @@
 import java.util.random.RandomGenerator;
 
 import io.fuchsiastand.time.Clock;
+import io.fuchsiastand.work.BusyTime;
+import io.fuchsiastand.work.ServiceWork;
 
 /**
  * A backend server to which an ingress daemon can send a call. It holds the description that the daemon of the backend
@@ -20,14 +22,20 @@
     private static final long TWO_FAILURES_BLOCK_NANOS = Duration.ofSeconds(1).toNanos();
     private static final long AVOIDANCE_NANOS = Duration.ofMillis(700).toNanos();
     private static final int MAX_COUNTED_FAILURES = 5;
+    private static final double MAX_FAILURE_SHARE = 0.9;
+    private static final double FAILURE_MEMORY_NANOS = Duration.ofSeconds(10).toNanos();
+    private static final double MIN_WEIGHT = 0.01;
     private static final long MIN_TRIAL_PERIOD_NANOS = Duration.ofMillis(500).toNanos();
     private static final long MAX_TRIAL_PERIOD_NANOS = Duration.ofMinutes(5).toNanos();
 
     private final String host;
     private final AtomicInteger inFlight = new AtomicInteger();
+    private final BusyTime busyTime;
     private volatile BackendServer server;
     private volatile double latencyMillis;
     private volatile int reportedLoad;
+    private volatile double failureShare;
+    private volatile long lastFailureNanos;
     private volatile int connectionFailures;
     private volatile long hostBlockedUntil = Long.MIN_VALUE;
     private volatile long avoidedUntil = Long.MIN_VALUE;
@@ -43,10 +51,12 @@
      *
      * @param host the host of the backend server
      * @param server the description of the backend server
+     * @param work the work at all backend servers of its service
      */
-    public Candidate(String host, BackendServer server) {
+    public Candidate(String host, BackendServer server, ServiceWork work) {
         this.host = host;
         this.server = server;
+        busyTime = new BusyTime(work);
     }
 
     /**
@@ -93,6 +103,41 @@
         inFlight.incrementAndGet();
     }
 
+    /**
+     * Records the start of a call to the backend server.
+     *
+     * @param costMillis the usual cost of the call in milliseconds of slot time, or 0 if it is unknown
+     * @param now monotonic time in nanoseconds
+     */
+    public void begin(double costMillis, long now) {
+        begin();
+        busyTime.add(costMillis, slots(), now);
+    }
+
+    /**
+     * Records what the daemon of the host stated about expected work with an answer.
+     *
+     * @param busyMillis the time for which the slots of the backend server are busy, in milliseconds
+     * @param costMillis the cost of a call like the one that was answered at this backend server, in milliseconds of slot time;
+     *     0 if it is unknown
+     * @param usualMillis the usual cost of such a call at the backend servers of the service; 0 if it is unknown
+     * @param now monotonic time in nanoseconds
+     */
+    public void recordWork(double busyMillis, double costMillis, double usualMillis, long now) {
+        busyTime.report(busyMillis, now);
+        busyTime.recordCost(costMillis, usualMillis);
+    }
+
+    /**
+     * Records that a call was sent to the backend server and failed there.
+     *
+     * @param now monotonic time in nanoseconds
+     */
+    public void recordFailure(long now) {
+        failureShare += SMOOTHING * (1 - failureShare);
+        lastFailureNanos = now;
+    }
+
     /**
      * Records the arrival of the head of a successful answer. The call no longer counts as in flight.
      *
@@ -107,6 +152,7 @@
         if (load >= 0) {
             reportedLoad = load;
         }
+        failureShare -= SMOOTHING * failureShare;
         connectionFailures = 0;
         hostBlockedUntil = Long.MIN_VALUE;
     }
@@ -249,7 +295,7 @@
      */
     public double utilisation() {
         int load = Math.max(inFlight.get(), reportedLoad);
-        return load / (double) Math.max(1, server.slots());
+        return load / (double) slots();
     }
 
     /**
@@ -259,7 +305,25 @@
      */
     public double score() {
         int load = Math.max(inFlight.get(), reportedLoad) + 1;
-        double capacity = Math.max(1, server.slots()) * Math.max(0.01, weight);
+        double capacity = slots() * Math.max(MIN_WEIGHT, weight);
         return load / capacity * (1 + latencyMillis);
     }
+
+    /**
+     * Returns the time after which a call is expected to succeed if it is sent to the backend server now. Recent failures there
+     * lengthen it, as a call that fails has to be sent again.
+     *
+     * @param costMillis the usual cost of the call in milliseconds of slot time
+     * @param now monotonic time in nanoseconds
+     * @return milliseconds
+     */
+    public double expectedFinishMillis(double costMillis, long now) {
+        double memory = Math.max(0, 1 - (now - lastFailureNanos) / FAILURE_MEMORY_NANOS);
+        double success = 1 - Math.min(MAX_FAILURE_SHARE, failureShare * memory);
+        return busyTime.expectedFinishMillis(costMillis, Math.max(MIN_WEIGHT, weight), now) / success;
+    }
+
+    private int slots() {
+        return Math.max(1, server.slots());
+    }
 }
--- a/core/src/main/java/io/fuchsiastand/routing/ServiceDirectory.java
+++ b/core/src/main/java/io/fuchsiastand/routing/ServiceDirectory.java
@@ -17,10 +17,12 @@
 import io.fuchsiastand.config.Service;
 import io.fuchsiastand.membership.Member;
 import io.fuchsiastand.time.Clock;
+import io.fuchsiastand.work.ServiceWork;
 
 /**
  * Holds all backend servers of the fleet by service and chooses one for each call. It draws two backend servers at
- * random, which may be the same, and chooses the one with the better score. It prefers the backend servers of the
+ * random, which may be the same, and chooses the one with the better score, or the one at which the call is expected to end
+ * first if its cost is known. It prefers the backend servers of the
  * daemon's own data centre until their utilisation reaches a limit.
  */
 public final class ServiceDirectory {
@@ -43,6 +45,7 @@
     private final Function<String, Optional<Member>> members;
     private final Function<String, Optional<Service>> services;
     private final Map<String, List<Candidate>> candidatesByService = new ConcurrentHashMap<>();
+    private final Map<String, ServiceWork> workByService = new ConcurrentHashMap<>();
     private final Map<String, Map<String, Candidate>> candidatesByHost = new HashMap<>();
 
     // Candidates that were removed, the oldest first. A daemon that restarts publishes a record without its backend
@@ -189,7 +192,7 @@
      *     those on usable hosts, all; {@link Candidate#isHostUsable} determines whether a host is usable
      */
     public Optional<Candidate> pick(String service, Set<Candidate> excluded, RandomGenerator random) {
-        return pick(service, excluded, MAX_LOCAL_UTILISATION, random);
+        return pick(service, excluded, MAX_LOCAL_UTILISATION, 0, random);
     }
 
     /**
@@ -199,11 +202,17 @@
      * @param excluded candidates that were already tried for this call
      * @param maxLocalUtilisation mean utilisation of the usable backend servers of the own data centre at which the call may go
      *     to another one
+     * @param costMillis the usual cost of the call in milliseconds of slot time; 0 if it is unknown or if the choice is to go by
+     *     the number of calls
      * @param random the source of random choices
      * @return the candidate, or empty if there is none
      */
     public Optional<Candidate> pick(
-            String service, Set<Candidate> excluded, double maxLocalUtilisation, RandomGenerator random) {
+            String service,
+            Set<Candidate> excluded,
+            double maxLocalUtilisation,
+            double costMillis,
+            RandomGenerator random) {
         List<Candidate> all = candidatesByService.getOrDefault(service, List.of());
         List<Candidate> usable =
                 usable(all, c -> !excluded.contains(c) && c.isHostUsable(clock) && !c.isAvoided(clock));
@@ -226,7 +235,7 @@
             }
         }
         boolean preferLocal = !local.isEmpty() && load / local.size() < maxLocalUtilisation;
-        return Optional.of(pickBetterOfTwo(preferLocal ? local : usable, random));
+        return Optional.of(pickBetterOfTwo(preferLocal ? local : usable, costMillis, random));
     }
 
     /**
@@ -255,6 +264,16 @@
         return candidatesByService.getOrDefault(service, List.of());
     }
 
+    /**
+     * Returns what is known of the work at the backend servers of a service.
+     *
+     * @param service the name of the service
+     * @return the state, which is created if there is none
+     */
+    public ServiceWork work(String service) {
+        return workByService.computeIfAbsent(service, k -> new ServiceWork());
+    }
+
     /**
      * Returns the services that have backend servers.
      *
@@ -275,9 +294,13 @@
         return Optional.ofNullable(candidatesByHost.getOrDefault(host, Map.of()).get(id));
     }
 
-    private Candidate pickBetterOfTwo(List<Candidate> from, RandomGenerator random) {
+    private Candidate pickBetterOfTwo(List<Candidate> from, double costMillis, RandomGenerator random) {
         Candidate a = from.get(random.nextInt(from.size()));
         Candidate b = from.get(random.nextInt(from.size()));
+        if (costMillis > 0) {
+            long now = clock.nanoTime();
+            return a.expectedFinishMillis(costMillis, now) <= b.expectedFinishMillis(costMillis, now) ? a : b;
+        }
         return a.score() <= b.score() ? a : b;
     }
 
@@ -300,7 +323,7 @@
         ProcessKey key = new ProcessKey(host, s.id(), s.incarnation());
         Candidate c = removed.remove(key);
         if (c == null || !isSameProcess(c.server(), s)) {
-            c = new Candidate(host, s);
+            c = new Candidate(host, s, work(s.service()));
         } else {
             c.setServer(s);
         }
--- a/core/src/test/java/io/fuchsiastand/routing/ServiceDirectoryTest.java
+++ b/core/src/test/java/io/fuchsiastand/routing/ServiceDirectoryTest.java
@@ -84,7 +84,7 @@
         Random random = new Random(1);
         return IntStream.range(0, 50)
                 .mapToObj(i -> directory
-                        .pick("menu", Set.of(), maxLocalUtilisation, random)
+                        .pick("menu", Set.of(), maxLocalUtilisation, 0, random)
                         .orElseThrow()
                         .server()
                         .id())
--- a/daemon/src/main/java/io/fuchsiastand/daemon/Daemon.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/Daemon.java
@@ -129,8 +129,7 @@
         join = new JoinController(board, store, gossip, configurationWatch.isPresent() ? tokenIssuers::tick : () -> {});
         platform = new PlatformController(board, store, limits, configuration::missingChunks);
         RequestLog log = new RequestLog(clock);
-        owner = new OwnerService(
-                backends::find, backends::leave, clock, settings.host(), conventions, log, transport.timer());
+        owner = createOwner(conventions, log);
         RetryBudgets retryBudgets = new RetryBudgets(board, peers, backends::retryShare);
         Dispatcher dispatcher =
                 new Dispatcher(board, peers, owner, metrics, conventions, log, retryBudgets, transport.timer());
@@ -263,6 +262,18 @@
         return idempotency.isTransferComplete();
     }
 
+    private OwnerService createOwner(HeaderConventions conventions, RequestLog log) {
+        return new OwnerService(
+                backends::find,
+                backends::leave,
+                board.clock(),
+                board.settings().host(),
+                conventions,
+                log,
+                transport.timer(),
+                board.settings().scheduling());
+    }
+
     private void startControllers() {
         configuration.start();
         new KeyController(board).start();
@@ -272,6 +283,8 @@
         tokenIssuers.start();
         metrics.registerGauge("fuchsiastand_in_flight", callerService::inFlight);
         metrics.registerGauge("fuchsiastand_members", board::fleetSize);
+        metrics.registerGauge("fuchsiastand_expected_busy_ms", backends::expectedBusyMillis);
+        metrics.registerGauge("fuchsiastand_expected_work_error", backends::expectedWorkError);
         metrics.registerGauge(
                 "fuchsiastand_configuration_version",
                 () -> board.configuration().get().configuration().version());
--- a/daemon/src/main/java/io/fuchsiastand/daemon/Warmup.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/Warmup.java
@@ -10,6 +10,7 @@
 
 import io.fuchsiastand.config.Detection;
 import io.fuchsiastand.config.Service;
+import io.fuchsiastand.daemon.board.Scheduling;
 import io.fuchsiastand.daemon.http.HeaderConventions;
 import io.fuchsiastand.daemon.http.HeaderNames;
 import io.fuchsiastand.daemon.http.Transport;
@@ -67,7 +68,8 @@
                     WARM_UP_NAME,
                     HeaderConventions.DEFAULT,
                     new RequestLog(clock),
-                    transport.timer());
+                    transport.timer(),
+                    Scheduling.DEFAULT);
             try (ServerContext server = transport.plainServer(owner);
                     StreamingHttpClient client = transport.backendClient(LOOPBACK, port(server))) {
                 sendCalls(client, clock, start + TIME_LIMIT.toNanos());
--- a/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/Dispatcher.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/Dispatcher.java
@@ -81,6 +81,7 @@
     private final Executor timer;
     private final BodyBudget bodyBudget = new BodyBudget(Runtime.getRuntime().maxMemory() / KEPT_BODIES_HEAP_DIVISOR);
     private final RetryBudgets budgets;
+    private final WorkReports work;
     private final Map<String, ServiceBaseline> baselines = new ConcurrentHashMap<>();
     private final StreamingHttpRequestFactory requestFactory = new DefaultStreamingHttpRequestResponseFactory(
             BufferAllocators.DEFAULT_ALLOCATOR, DefaultHttpHeadersFactory.INSTANCE, HttpProtocolVersion.HTTP_1_1);
@@ -112,6 +113,7 @@
         this.conventions = conventions;
         answerCheck = new AnswerCheck(conventions, log);
         this.board = board;
+        work = new WorkReports(board);
         this.peers = peers;
         this.owner = owner;
         this.metrics = metrics;
@@ -221,10 +223,8 @@
         Optional<Candidate> forTrial =
                 a.mayTry() ? board.directory().pickForTrial(a.service, ThreadLocalRandom.current()) : Optional.empty();
         a.trial = forTrial.isPresent();
-        Optional<Candidate> picked = forTrial.or(() -> a.attempts > CallAttempts.ATTEMPT_LIMIT
-                        ? Optional.empty()
-                        : board.directory()
-                                .pick(a.service, a.tried, a.maxLocalUtilisation(), ThreadLocalRandom.current()))
+        Optional<Candidate> picked = forTrial.or(
+                        () -> a.attempts > CallAttempts.ATTEMPT_LIMIT ? Optional.empty() : work.pick(a))
                 .or(a::takeLastResort);
         if (picked.isEmpty()) {
             return failed(a.finalRefusal(RETRY_AFTER_MILLIS));
@@ -234,7 +234,7 @@
         if (a.lastResort) {
             log.write("last resort", idOf(a), "server", c.server().id(), "suspicion", a.minFaultProbability);
         }
-        c.begin();
+        work.begin(a.kind, c);
         Attempt attempt = new Attempt(c, a.trial, board.clock());
         return defer(() -> send(a, c))
                 .beforeCancel(attempt::endWithoutResult)
@@ -260,6 +260,7 @@
                 x.deadline(),
                 x.target(),
                 a.kind,
+                work.usualMillis(a.kind),
                 baseline(a.service).latest(),
                 request);
         if (c.host().equals(board.settings().host())) {
@@ -288,6 +289,9 @@
                 attempt.endFailed(-1);
             }
             a.recordRefusal(r.retryAfterMillis(), rateLimited);
+            if (!r.isNotSent()) {
+                work.recordFailure(attempt.candidate());
+            }
             attempt.recordTrial(!r.isNotSent());
             a.recordFaultProbability(attempt.candidate(), r.faultProbability());
             return onRefusal(a, r);
@@ -338,6 +342,10 @@
                 .ifPresent(x -> baseline(a.service).observe(server, x));
         boolean failed = notRun || (status >= SERVER_ERROR && status != NOT_IMPLEMENTED);
         attempt.recordTrial(!notSent);
+        work.read(a.kind, attempt.candidate(), h);
+        if (failed && !notSent) {
+            work.recordFailure(attempt.candidate());
+        }
         recordEnd(a, attempt, h, failed);
         if (!h.contains(HeaderNames.REFUSED_BY) || h.contains(HeaderNames.RATE_LIMITED)) {
             attempt.candidate().recordRateLimit(HeaderNames.rateLimitOf(h));
--- a/daemon/src/main/java/io/fuchsiastand/daemon/http/HeaderNames.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/http/HeaderNames.java
@@ -27,6 +27,13 @@
     public static final String BASELINE_SLOW = "fuchsiastand-baseline-slow";
     /** Number of calls that a backend server runs or that wait for it; used only between daemons. */
     public static final String LOAD = "fuchsiastand-load";
+    /** Time in milliseconds for which the slots of a backend server are expected to be busy; used only between daemons. */
+    public static final String BUSY = "fuchsiastand-busy-ms";
+    /**
+     * Cost of a call of this kind in milliseconds of slot time: on a request, the usual one at the backend servers of the service;
+     * on a response, the one at its backend server. Used only between daemons.
+     */
+    public static final String COST = "fuchsiastand-cost-ms";
     /** Recent health statistics of the backend server; used only between daemons. */
     public static final String SUMMARY = "fuchsiastand-summary";
     /** The service of the host on which a call began; used only between daemons. */
@@ -85,6 +92,7 @@
     /** Value of {@link #RUN_STATE} if the call may have run. */
     public static final String UNKNOWN = "unknown";
 
+    private static final double HUNDRED = 100;
     private static final String INTERNAL_PREFIX = "fuchsiastand-";
     // See RFC 9110, section 7.6.1. Transfer-Encoding is not in the list, because ServiceTalk rewrites it.
     private static final List<String> HOP_BY_HOP = List.of(
@@ -170,6 +178,16 @@
         return rate >= 0 && rate < Double.POSITIVE_INFINITY ? OptionalDouble.of(rate) : OptionalDouble.empty();
     }
 
+    /**
+     * Formats a duration.
+     *
+     * @param millis the duration in milliseconds
+     * @return the number, rounded to a hundredth of a millisecond if it is below one, otherwise to a whole number
+     */
+    public static String formatMillis(double millis) {
+        return millis < 1 ? Double.toString(Math.ceil(millis * HUNDRED) / HUNDRED) : Long.toString(Math.round(millis));
+    }
+
     /**
      * Parses an integer.
      *
--- a/daemon/src/main/java/io/fuchsiastand/daemon/owner/BackendCall.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/owner/BackendCall.java
@@ -23,6 +23,8 @@
  * @param target time on the monotonic clock of this host until which a response is fully useful, in nanoseconds; the deadline
  *     if the route sets no target latency
  * @param kind the kind of the call, by which its work is estimated
+ * @param usualCostMillis the usual time for which calls of its kind hold a slot, in milliseconds, or 0 if the ingress daemon does
+ *     not know it
  * @param baseline typical failures and service times of the service
  * @param request the request; {@link OwnerService} removes its internal headers before it sends the request
  */
@@ -40,5 +42,6 @@
         long deadline,
         long target,
         WorkKind kind,
+        double usualCostMillis,
         Baseline baseline,
         StreamingHttpRequest request) {}
--- a/daemon/src/main/java/io/fuchsiastand/daemon/owner/BackendController.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/owner/BackendController.java
@@ -298,6 +298,30 @@
         return calls == 0 ? 0 : (double) retries / calls;
     }
 
+    /**
+     * Returns the time for which the slots of the busiest backend server of this host are expected to be busy.
+     *
+     * @return milliseconds
+     */
+    public double expectedBusyMillis() {
+        return backends.values().stream()
+                .mapToDouble(LocalBackend::busyMillis)
+                .max()
+                .orElse(0);
+    }
+
+    /**
+     * Returns the largest mean relative error of the work that was expected of calls to a backend server of this host.
+     *
+     * @return the error as a share of the expected work
+     */
+    public double expectedWorkError() {
+        return backends.values().stream()
+                .mapToDouble(b -> b.work().estimates().relativeError())
+                .max()
+                .orElse(0);
+    }
+
     /** Updates the health of all backend servers, removes expired ones and publishes changes. Called periodically. */
     public void tick() {
         change(callbacks -> {
--- a/daemon/src/main/java/io/fuchsiastand/daemon/owner/CallHeaders.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/owner/CallHeaders.java
@@ -29,6 +29,7 @@
         h.set(HeaderNames.DEADLINE, Long.toString(Math.max(1, (call.deadline() - now) / NANOS_PER_MILLI)));
         h.set(HeaderNames.TARGET, Long.toString(Math.max(0, (call.target() - now) / NANOS_PER_MILLI)));
         h.set(HeaderNames.KIND, call.kind().toText());
+        setIf(call.usualCostMillis() > 0, h, HeaderNames.COST, HeaderNames.formatMillis(call.usualCostMillis()));
         h.set(HeaderNames.IDEMPOTENT, Boolean.toString(call.idempotent()));
         setIf(call.retry(), h, HeaderNames.REPEATED, "1");
         setIf(call.lastResort(), h, HeaderNames.LAST_RESORT, "1");
@@ -68,12 +69,26 @@
                 now + timeoutMillis * NANOS_PER_MILLI,
                 now + targetMillis * NANOS_PER_MILLI,
                 WorkKind.parse(service, h.get(HeaderNames.KIND)),
+                HeaderNames.parseDouble(h.get(HeaderNames.COST), 0),
                 new Baseline(
                         HeaderNames.parseDouble(h.get(HeaderNames.BASELINE_FAILURES), 0),
                         HeaderNames.parseDouble(h.get(HeaderNames.BASELINE_SLOW), 0)),
                 request);
     }
 
+    /**
+     * Writes what a backend server has left to do, and the cost of a call if it is known, into the headers of an answer.
+     *
+     * @param backend the backend server
+     * @param kind the kind of the call
+     * @param h the headers of the answer
+     */
+    static void writeWork(LocalBackend backend, WorkKind kind, HttpHeaders h) {
+        h.set(HeaderNames.BUSY, HeaderNames.formatMillis(backend.busyMillis()));
+        double cost = backend.work().estimates().expectedMillis(kind);
+        setIf(cost > 0, h, HeaderNames.COST, HeaderNames.formatMillis(cost));
+    }
+
     private static void setIf(boolean condition, HttpHeaders h, String name, String value) {
         if (condition) {
             h.set(name, value);
--- a/daemon/src/main/java/io/fuchsiastand/daemon/owner/LocalBackend.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/owner/LocalBackend.java
@@ -50,6 +50,7 @@
     private volatile long lastCallNanos;
     private volatile boolean idleReported;
     private final BackendRateLimit rateLimit = new BackendRateLimit();
+    private final BackendWork work;
     // Whether a response of the backend server has named a limit or named none.
     private volatile boolean rateLimitHeard;
     private volatile boolean excessReported;
@@ -114,6 +115,7 @@
         private final BackendCall call;
         // Time from the start to the head of the response, or 0 before it has arrived.
         private volatile double headMillis;
+        private volatile boolean answered;
         private boolean recorded;
         private boolean ended;
 
@@ -140,6 +142,9 @@
                 ejectionTrials.record(outcome);
             }
             recordOutcome(outcome);
+            if (outcome == Outcome.SUCCESS && answered) {
+                work.learn(call.kind(), elapsedMillis());
+            }
             if (outcome == Outcome.SUCCESS) {
                 circuitBreaker.recordSuccess(clock.nanoTime());
             } else if (outcome != Outcome.FAILURE) {
@@ -177,9 +182,17 @@
 
         /**
          * Records the arrival of the head of the response, which ends the service time.
+         *
+         * @param isAnswer whether the response is the result that the call asked for; an error tells nothing about the work of
+         *     such calls
          */
-        public void recordResponseHead() {
+        public void recordResponseHead(boolean isAnswer) {
             headMillis = elapsedMillis();
+            answered = isAnswer;
+        }
+
+        private double remainingMillis() {
+            return headMillis > 0 ? 0 : work.estimates().remainingMillis(call.kind(), elapsedMillis());
         }
 
         // A call that takes far longer than the slow calls of the service is recorded as a failure before its deadline.
@@ -209,6 +222,7 @@
         this.clock = clock;
         incarnation = announcement.born() == 0 ? clock.now().toEpochMilli() : announcement.born();
         queue = new FairQueue(announcement.slots(), service.queue(), clock);
+        work = new BackendWork(announcement.id());
         health = new BackendHealth(service.detection(), clock.nanoTime());
         lastCallNanos = clock.nanoTime();
         renew(announcement);
@@ -297,6 +311,25 @@
         return c;
     }
 
+    /**
+     * Returns the expected work of its calls.
+     *
+     * @return the work
+     */
+    public BackendWork work() {
+        return work;
+    }
+
+    /**
+     * Returns the time for which the slots are expected to be busy with the calls in flight, those that wait and one more.
+     *
+     * @return milliseconds
+     */
+    public double busyMillis() {
+        return work.busyMillis(
+                calls.values().stream().mapToDouble(InFlightCall::remainingMillis), announcement.slots());
+    }
+
     /**
      * Returns the number of calls in flight.
      *
--- a/daemon/src/main/java/io/fuchsiastand/daemon/owner/OwnerService.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/owner/OwnerService.java
@@ -10,6 +10,7 @@
 import java.util.function.Consumer;
 import java.util.function.Function;
 
+import io.fuchsiastand.daemon.board.Scheduling;
 import io.fuchsiastand.daemon.http.HalfCloseDetection;
 import io.fuchsiastand.daemon.http.HeaderConventions;
 import io.fuchsiastand.daemon.http.HeaderNames;
@@ -50,6 +51,7 @@
 
     private static final int SERVICE_UNAVAILABLE = 503;
     private static final int SERVER_ERROR = 500;
+    private static final int CLIENT_ERROR = 400;
     private static final int MISDIRECTED_REQUEST = 421;
     private static final long NANOS_PER_MILLI = 1_000_000;
     private static final long MIN_RETRY_AFTER_MILLIS = 50;
@@ -64,6 +66,7 @@
     private final HeaderConventions conventions;
     private final RequestLog log;
     private final Executor timer;
+    private final Scheduling scheduling;
     private final AtomicInteger inFlight = new AtomicInteger();
 
     /**
@@ -76,6 +79,7 @@
      * @param conventions the names of the headers that backend servers use
      * @param log the log of decisions about requests
      * @param timer runs the timeouts of calls
+     * @param scheduling which decisions are made by expected work
      */
     public OwnerService(
             Function<String, Optional<LocalBackend>> backends,
@@ -84,8 +88,10 @@
             String host,
             HeaderConventions conventions,
             RequestLog log,
-            Executor timer) {
+            Executor timer,
+            Scheduling scheduling) {
         this.timer = timer;
+        this.scheduling = scheduling;
         this.log = log;
         this.backends = backends;
         this.onLeaving = onLeaving;
@@ -138,6 +144,10 @@
         if (e.retryAfterMillis() > 0) {
             r.headers().set(HeaderNames.WAIT, Long.toString(e.retryAfterMillis()));
         }
+        backends.apply(call.backend())
+                .filter(b -> scheduling.byWork())
+                .filter(b -> b.announcement().service().equals(call.service()))
+                .ifPresent(b -> CallHeaders.writeWork(b, call.kind(), r.headers()));
         if (e.code() == ErrorCode.BACKEND_RATE_LIMITED) {
             r.headers().set(HeaderNames.RATE_LIMITED, "1");
             backends.apply(call.backend()).ifPresent(b -> setRateLimit(b, r.headers()));
@@ -161,10 +171,13 @@
             return failed(draining());
         }
         backend.adoptRateLimit(call.knownRateLimit());
+        backend.work().estimates().adopt(call.kind(), call.usualCostMillis());
         if (!backend.rateLimit().waitTime(clock.nanoTime()).isZero()) {
             return failed(rateLimited(backend));
         }
-        return defer(() -> acquireSlot(backend, call).flatMap(permit -> sendIfAllowed(backend, call, permit)));
+        return defer(() -> acquireSlot(backend, call)
+                .beforeFinally(backend.work().beginWait(call.kind())::run)
+                .flatMap(permit -> sendIfAllowed(backend, call, permit)));
     }
 
     private Single<StreamingHttpResponse> sendIfAllowed(
@@ -422,13 +435,16 @@
         recordStatements(backend, r, notRun);
         HeaderNames.removeHopByHop(h);
         HeaderNames.removeInternal(h);
-        c.recordResponseHead();
+        c.recordResponseHead(outcome == Outcome.SUCCESS && status < CLIENT_ERROR);
         backend.health().summary().ifPresent(x -> h.set(HeaderNames.SUMMARY, x.toText()));
         setRateLimit(backend, h);
         if (backend.isLeaving()) {
             h.set(HeaderNames.LEAVING, "1");
         }
         h.set(HeaderNames.LOAD, Integer.toString(backend.queue().load()));
+        if (scheduling.byWork()) {
+            CallHeaders.writeWork(backend, call.kind(), h);
+        }
         if (outcome == Outcome.SUCCESS) {
             log.countSuccess();
         } else {
--- /dev/null
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/owner/LocalBackendWorkTest.java
@@ -0,0 +1,89 @@
+package io.fuchsiastand.daemon.owner;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.OptionalDouble;
+
+import io.fuchsiastand.config.Detection;
+import io.fuchsiastand.config.Service;
+import io.fuchsiastand.health.Baseline;
+import io.fuchsiastand.health.Outcome;
+import io.fuchsiastand.time.ManualClock;
+import io.fuchsiastand.work.WorkKind;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class LocalBackendWorkTest {
+
+    private static final WorkKind KIND = new WorkKind("menu", "a", 0);
+
+    private final ManualClock clock = new ManualClock();
+    private final LocalBackend backend = new LocalBackend(
+            LocalBackend.Announcement.of("a", "menu", "127.0.0.1", 1, 2, 3600),
+            new Service("menu", 0, Duration.ofSeconds(5), 10, Detection.CAREFUL, List.of()),
+            null,
+            clock);
+
+    @Test
+    void learnsTheWorkOfCallsFromAnswers() {
+        run(10, 200, true, Outcome.SUCCESS);
+        assertThat(backend.work().estimates().expectedMillis(KIND)).isWithin(1).of(200);
+    }
+
+    @Test
+    void learnsNothingFromFailuresAndErrors() {
+        run(10, 200, true, Outcome.SUCCESS);
+        run(10, 1, false, Outcome.SUCCESS);
+        run(10, 1, false, Outcome.FAILURE);
+        run(10, 1, true, Outcome.CANCELLED);
+        assertThat(backend.work().estimates().expectedMillis(KIND)).isWithin(1).of(200);
+    }
+
+    @Test
+    void isBusyWithTheCallsThatRunAndThoseThatWait() {
+        run(10, 200, true, Outcome.SUCCESS);
+        assertThat(backend.busyMillis()).isWithin(1).of(100);
+        begin();
+        begin();
+        assertThat(backend.busyMillis()).isWithin(1).of(300);
+        Runnable end = backend.work().beginWait(KIND);
+        assertThat(backend.busyMillis()).isWithin(1).of(400);
+        end.run();
+        clock.advance(Duration.ofMillis(150));
+        assertThat(backend.busyMillis()).isWithin(1).of(150);
+    }
+
+    private void run(int calls, long millis, boolean isAnswer, Outcome outcome) {
+        for (int i = 0; i < calls; i++) {
+            LocalBackend.InFlightCall c = begin();
+            clock.advance(Duration.ofMillis(millis));
+            c.recordResponseHead(isAnswer);
+            c.end(outcome);
+        }
+    }
+
+    private LocalBackend.InFlightCall begin() {
+        long deadline = clock.nanoTime() + Duration.ofSeconds(5).toNanos();
+        BackendCall call = new BackendCall(
+                "a",
+                "menu",
+                "team",
+                "",
+                false,
+                false,
+                false,
+                false,
+                OptionalDouble.empty(),
+                0,
+                deadline,
+                deadline,
+                KIND,
+                0,
+                Baseline.UNKNOWN,
+                null);
+        LocalBackend.InFlightCall[] out = new LocalBackend.InFlightCall[1];
+        backend.queue().submit("team", deadline, permit -> out[0] = backend.begin(permit, call), code -> {});
+        return out[0];
+    }
+}
