--- a/daemon/src/main/java/io/fuchsiastand/daemon/Daemon.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/Daemon.java
@@ -296,6 +296,8 @@
         tokenIssuers.start();
         metrics.registerGauge("fuchsiastand_in_flight", callerService::inFlight);
         metrics.registerGauge("fuchsiastand_members", board::fleetSize);
+        metrics.registerGauge("fuchsiastand_expected_busy_ms", backends::expectedBusyMillis);
+        metrics.registerGauge("fuchsiastand_expected_work_error", backends::expectedWorkError);
         metrics.registerGauge(
                 "fuchsiastand_configuration_version",
                 () -> board.configuration().get().configuration().version());
--- a/daemon/src/main/java/io/fuchsiastand/daemon/Warmup.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/Warmup.java
@@ -12,6 +12,7 @@
 import io.fuchsiastand.config.Detection;
 import io.fuchsiastand.config.Service;
 import io.fuchsiastand.daemon.admission.RequestAdmission;
+import io.fuchsiastand.daemon.board.Scheduling;
 import io.fuchsiastand.daemon.http.HeaderConventions;
 import io.fuchsiastand.daemon.http.HeaderNames;
 import io.fuchsiastand.daemon.http.Transport;
@@ -20,7 +21,6 @@
 import io.fuchsiastand.daemon.owner.LocalBackend;
 import io.fuchsiastand.daemon.owner.OwnerService;
 import io.fuchsiastand.daemon.owner.SlotAdmission;
-import io.fuchsiastand.queue.QueueOrder;
 import io.fuchsiastand.time.Clock;
 import io.servicetalk.concurrent.api.Completable;
 import io.servicetalk.concurrent.api.Publisher;
@@ -65,7 +65,7 @@
                     new Service(WARM_UP_NAME, 0, TIME_LIMIT, CONCURRENT_CALLS, Detection.CAREFUL, List.of()),
                     echoClient,
                     clock,
-                    QueueOrder.ARRIVAL);
+                    Scheduling.DEFAULT);
             RequestLog log = new RequestLog(clock);
             Metrics metrics = new Metrics();
             OwnerService owner = new OwnerService(
--- a/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/Dispatcher.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/Dispatcher.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.net.ConnectException;
 import java.time.Duration;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
@@ -11,7 +10,6 @@
 import java.util.concurrent.TimeoutException;
 import java.util.function.Supplier;
 
-import io.fuchsiastand.config.WeightedService;
 import io.fuchsiastand.daemon.admission.RequestAdmission;
 import io.fuchsiastand.daemon.board.Blackboard;
 import io.fuchsiastand.daemon.board.Lifecycle;
@@ -84,6 +82,7 @@
     private final Executor timer;
     private final BodyBudget bodyBudget = new BodyBudget(Runtime.getRuntime().maxMemory() / KEPT_BODIES_HEAP_DIVISOR);
     private final RetryBudgets budgets;
+    private final WorkReports work;
     private final Map<String, ServiceBaseline> baselines = new ConcurrentHashMap<>();
     private final StreamingHttpRequestFactory requestFactory = new DefaultStreamingHttpRequestResponseFactory(
             BufferAllocators.DEFAULT_ALLOCATOR, DefaultHttpHeadersFactory.INSTANCE, HttpProtocolVersion.HTTP_1_1);
@@ -115,6 +114,7 @@
         this.conventions = conventions;
         answerCheck = new AnswerCheck(conventions, log);
         this.board = board;
+        work = new WorkReports(board);
         this.peers = peers;
         this.owner = owner;
         admission = owner.admission();
@@ -135,7 +135,7 @@
         h.remove(HeaderNames.AUTHORIZATION);
         conventions.reservedHeaders().forEach(h::remove);
         h.add("via", VIA);
-        String service = chooseService(routed);
+        String service = routed.chooseService(ThreadLocalRandom.current());
         if (!RequestCheck.hasBody(request)) {
             return start(newAttempts(routed, service, EMPTY_BODY));
         }
@@ -210,23 +210,6 @@
         return r.messageBody().ignoreElements().timeout(MAX_DRAIN_TIME, timer).onErrorComplete();
     }
 
-    // If the chosen service of the split lacks capacity, the request is refused and not sent to another service.
-    private String chooseService(RoutedRequest routed) {
-        List<WeightedService> split = routed.match().route().split();
-        if (split.isEmpty()) {
-            return routed.match().service().name();
-        }
-        double total = split.stream().mapToDouble(WeightedService::weight).sum();
-        double remaining = ThreadLocalRandom.current().nextDouble() * total;
-        for (WeightedService w : split) {
-            remaining -= w.weight();
-            if (remaining < 0) {
-                return w.service();
-            }
-        }
-        return split.get(split.size() - 1).service();
-    }
-
     private Single<StreamingHttpResponse> nextAttempt(CallAttempts a) {
         a.attempts++;
         if (a.routed.deadline() - board.clock().nanoTime() <= NANOS_PER_MILLI) {
@@ -235,10 +218,7 @@
         Optional<Candidate> forTrial =
                 a.mayTry() ? board.directory().pickForTrial(a.service, ThreadLocalRandom.current()) : Optional.empty();
         a.trial = forTrial.isPresent();
-        Optional<Candidate> picked = forTrial.or(() -> a.hasAskedEnough()
-                        ? Optional.empty()
-                        : board.directory()
-                                .pick(a.service, a.tried, a.maxLocalUtilisation(), ThreadLocalRandom.current()))
+        Optional<Candidate> picked = forTrial.or(() -> a.hasAskedEnough() ? Optional.empty() : work.pick(a))
                 .or(a::takeLastResort);
         if (picked.isEmpty()) {
             return failed(a.finalRefusal(RETRY_AFTER_MILLIS));
@@ -248,7 +228,7 @@
         if (a.lastResort) {
             log.write("last resort", idOf(a), "server", c.server().id(), "suspicion", a.minFaultProbability);
         }
-        c.begin();
+        work.begin(a.kind, c);
         Attempt attempt = new Attempt(c, a.trial, board.clock());
         return defer(() -> send(a, c))
                 .beforeCancel(attempt::endWithoutResult)
@@ -274,6 +254,7 @@
                 x.deadline(),
                 x.target(),
                 a.kind,
+                work.usualMillis(a.kind),
                 baseline(a.service).latest(),
                 request);
         if (c.host().equals(board.settings().host())) {
@@ -309,6 +290,9 @@
             if (r.code() == ErrorCode.QUEUE_FULL && r.isNotSent()) {
                 recordQueueFull(a, attempt, r.retryAfterMillis());
             }
+            if (!r.isNotSent()) {
+                work.recordFailure(attempt.candidate());
+            }
             attempt.recordTrial(!r.isNotSent());
             a.recordFaultProbability(attempt.candidate(), r.faultProbability());
             return onRefusal(a, r);
@@ -365,6 +349,10 @@
                 .ifPresent(x -> baseline(a.service).observe(server, x));
         boolean failed = notRun || (status >= SERVER_ERROR && status != NOT_IMPLEMENTED);
         attempt.recordTrial(!notSent);
+        work.read(a.kind, attempt.candidate(), h);
+        if (failed && !notSent) {
+            work.recordFailure(attempt.candidate());
+        }
         recordEnd(a, attempt, h, failed);
         if (!h.contains(HeaderNames.REFUSED_BY) || h.contains(HeaderNames.RATE_LIMITED)) {
             attempt.candidate().recordRateLimit(HeaderNames.rateLimitOf(h));
--- a/daemon/src/main/java/io/fuchsiastand/daemon/owner/OwnerService.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/owner/OwnerService.java
@@ -48,6 +48,7 @@
 
     private static final int SERVICE_UNAVAILABLE = 503;
     private static final int SERVER_ERROR = 500;
+    private static final int CLIENT_ERROR = 400;
     private static final int MISDIRECTED_REQUEST = 421;
     private static final long NANOS_PER_MILLI = 1_000_000;
     private static final long MIN_RETRY_AFTER_MILLIS = 50;
@@ -149,7 +150,9 @@
         if (e.code() == ErrorCode.QUEUE_FULL) {
             r.headers().set(HeaderNames.QUEUE_FULL, "1");
         }
-        backends.apply(call.backend()).ifPresent(b -> slots.requests().writeRoom(b.roomMeter(), r.headers()));
+        backends.apply(call.backend())
+                .filter(b -> b.announcement().service().equals(call.service()))
+                .ifPresent(b -> writeState(b, call, r.headers()));
         if (e.code() == ErrorCode.NO_ROOM_FOR_CALLS) {
             r.headers().set(HeaderNames.REFUSED_BEFORE_START, "1");
         }
@@ -160,6 +163,11 @@
         return r;
     }
 
+    private void writeState(LocalBackend backend, BackendCall call, HttpHeaders h) {
+        slots.requests().writeRoom(backend.roomMeter(), h);
+        CallHeaders.writeWork(backend, call.kind(), h);
+    }
+
     /**
      * Runs a call on a backend server of this host.
      *
@@ -176,6 +184,7 @@
             return failed(draining());
         }
         backend.adoptRateLimit(call.knownRateLimit());
+        backend.work().estimates().adopt(call.kind(), call.usualCostMillis());
         if (!backend.rateLimit().waitTime(clock.nanoTime()).isZero()) {
             return failed(rateLimited(backend));
         }
@@ -386,14 +395,14 @@
         recordStatements(backend, r, notRun);
         HeaderNames.removeHopByHop(h);
         HeaderNames.removeInternal(h);
-        c.recordResponseHead();
+        c.recordResponseHead(outcome == Outcome.SUCCESS && status < CLIENT_ERROR);
         backend.health().summary().ifPresent(x -> h.set(HeaderNames.SUMMARY, x.toText()));
         setRateLimit(backend, h);
         if (backend.isLeaving()) {
             h.set(HeaderNames.LEAVING, "1");
         }
         h.set(HeaderNames.LOAD, Integer.toString(backend.queue().load()));
-        slots.requests().writeRoom(backend.roomMeter(), h);
+        writeState(backend, call, h);
         if (outcome == Outcome.SUCCESS) {
             log.countSuccess();
         } else {
--- a/daemon/src/main/java/io/fuchsiastand/daemon/owner/SlotAdmission.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/owner/SlotAdmission.java
@@ -74,9 +74,9 @@
         return call.team().isEmpty() ? -1 : call.priority();
     }
 
-    // The time for which the call is expected to hold a slot.
-    private static long expectedNanos(LocalBackend backend) {
-        return (long) (backend.queue().meanHoldMillis() * NANOS_PER_MILLI);
+    // The time for which the call is expected to hold a slot; 0 if it is unknown.
+    private static long expectedNanos(LocalBackend backend, BackendCall call) {
+        return (long) (backend.work().estimates().expectedMillis(call.kind()) * NANOS_PER_MILLI);
     }
 
     /**
@@ -98,7 +98,10 @@
     Single<FairQueue.Permit> acquire(LocalBackend backend, BackendCall call) {
         return defer(() -> {
             admission.check(call);
-            return admission.measureRoom(call, backend.roomMeter(), waitForSlot(backend, call));
+            Runnable endWait = backend.work().beginWait(call.kind());
+            return admission
+                    .measureRoom(call, backend.roomMeter(), waitForSlot(backend, call))
+                    .beforeFinally(endWait::run);
         });
     }
 
@@ -109,7 +112,7 @@
         Submission submission = Submission.builder(call.team(), call.deadline())
                 .priority(priorityOf(call))
                 .target(call.target())
-                .expectedNanos(expectedNanos(backend))
+                .expectedNanos(expectedNanos(backend, call))
                 .maxWaitNanos(maxWaitNanos(backend, call, start))
                 .lastResort(call.lastResort())
                 .build();
@@ -133,7 +136,7 @@
     private static long maxWaitNanos(LocalBackend backend, BackendCall call, long now) {
         long left = call.deadline() - now;
         return backend.queue().order() == QueueOrder.DUE_DATE && call.lastResort()
-                ? left - expectedNanos(backend)
+                ? left - expectedNanos(backend, call)
                 : (long) (MAX_QUEUE_WAIT_SHARE * left);
     }
 
--- a/daemon/src/test/java/io/fuchsiastand/daemon/admission/RequestAdmissionTest.java
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/admission/RequestAdmissionTest.java
@@ -60,6 +60,7 @@
                 deadline,
                 deadline,
                 KIND,
+                0,
                 Baseline.UNKNOWN,
                 factory.get("/"));
     }
--- a/daemon/src/test/java/io/fuchsiastand/daemon/dispatch/CallAttemptsTest.java
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/dispatch/CallAttemptsTest.java
@@ -13,6 +13,7 @@
 import io.fuchsiastand.routing.Candidate;
 import io.fuchsiastand.routing.RouteMatch;
 import io.fuchsiastand.time.ManualClock;
+import io.fuchsiastand.work.ServiceWork;
 import io.servicetalk.buffer.netty.BufferAllocators;
 import io.servicetalk.http.api.DefaultHttpHeadersFactory;
 import io.servicetalk.http.api.DefaultStreamingHttpRequestResponseFactory;
@@ -70,6 +71,6 @@
     }
 
     private static Candidate candidate(String host) {
-        return new Candidate(host, new BackendServer("1", "menu", 7, BackendState.SERVING, 1, 0, 1));
+        return new Candidate(host, new BackendServer("1", "menu", 7, BackendState.SERVING, 1, 0, 1), new ServiceWork());
     }
 }
--- a/daemon/src/test/java/io/fuchsiastand/daemon/owner/SlotAdmissionTest.java
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/owner/SlotAdmissionTest.java
@@ -9,6 +9,8 @@
 
 import io.fuchsiastand.config.Detection;
 import io.fuchsiastand.config.Service;
+import io.fuchsiastand.daemon.admission.RequestAdmission;
+import io.fuchsiastand.daemon.board.Scheduling;
 import io.fuchsiastand.daemon.http.HeaderConventions;
 import io.fuchsiastand.daemon.http.RefusalException;
 import io.fuchsiastand.daemon.metrics.Metrics;
@@ -16,7 +18,6 @@
 import io.fuchsiastand.error.ErrorCode;
 import io.fuchsiastand.health.Baseline;
 import io.fuchsiastand.queue.FairQueue;
-import io.fuchsiastand.queue.QueueOrder;
 import io.fuchsiastand.time.ManualClock;
 import io.fuchsiastand.work.WorkKind;
 import io.servicetalk.buffer.netty.BufferAllocators;
@@ -41,9 +42,15 @@
             new Service("menu", 0, Duration.ofSeconds(10), 16, Detection.CAREFUL, List.of()),
             null,
             clock,
-            QueueOrder.DUE_DATE);
+            new Scheduling(false, true, false));
     private final SlotAdmission slots = new SlotAdmission(
-            clock, HeaderConventions.DEFAULT, new RequestLog(clock), metrics, Executors.global(), new Random(1));
+            clock,
+            HeaderConventions.DEFAULT,
+            new RequestLog(clock),
+            metrics,
+            new RequestAdmission(false, clock, HeaderConventions.DEFAULT, new RequestLog(clock), metrics),
+            Executors.global(),
+            new Random(1));
 
     @Test
     void callThatCanGoElsewhereIsRefusedAtOnceAndWaitsIfNoOtherBackendServerIsLeft() throws Exception {
@@ -100,6 +107,7 @@
                 deadline,
                 deadline,
                 new WorkKind("menu", "", 0),
+                0,
                 Baseline.UNKNOWN,
                 new DefaultStreamingHttpRequestResponseFactory(
                                 BufferAllocators.DEFAULT_ALLOCATOR,
