Keep the place of a last resort when calls arrive that can go elsewhere

Cause: each call that arrived at a queue beyond its capacity could take the place of a less urgent one or of one of the team with the most waiting calls, also if that one could go nowhere else.

Change: the capacity counts and refuses only calls that can go elsewhere.

--- a/core/src/main/java/io/fuchsiastand/queue/FairQueue.java
+++ b/core/src/main/java/io/fuchsiastand/queue/FairQueue.java
@@ -242,7 +242,7 @@
     }
 
     private void enqueue(SubmittedCall c, QueueRefusal ifFull, List<Callback> callbacks) {
-        if (waiting.size() < capacityFor(c.submission())) {
+        if (!isFullFor(c.submission())) {
             waiting.add(c);
             return;
         }
@@ -257,10 +257,13 @@
 
     // The expected wait already limits calls that are ordered by due date. Those that can go elsewhere are still spread
     // over the backend servers by the capacity.
-    private int capacityFor(Submission s) {
-        return order == QueueOrder.DUE_DATE && s.lastResort()
-                ? Math.max(capacity, slots * LAST_RESORT_CALLS_PER_SLOT)
-                : capacity;
+    private boolean isFullFor(Submission s) {
+        if (order == QueueOrder.ARRIVAL) {
+            return waiting.size() >= capacity;
+        }
+        return s.lastResort()
+                ? waiting.size() >= Math.max(capacity, slots * LAST_RESORT_CALLS_PER_SLOT)
+                : waiting.movable() >= capacity;
     }
 
     private QueueRefusal refusal(SubmittedCall c, ErrorCode code) {
--- a/core/src/test/java/io/fuchsiastand/queue/DueDateQueueTest.java
+++ b/core/src/test/java/io/fuchsiastand/queue/DueDateQueueTest.java
@@ -66,6 +66,24 @@
         assertThat(refused.keySet()).containsExactly("elsewhere 2", "last resort 3");
     }
 
+    // Load pattern: burst over too little room. A call that can go nowhere else is not refused for one that can.
+    @Test
+    void callsThatCanGoElsewhereDoNotTakeThePlaceOfALastResort() {
+        FairQueue full = new FairQueue(1, 1, clock, QueueOrder.DUE_DATE);
+        submit(full, "running", call("a", 9000).expectedNanos(nanos(100)));
+        submit(
+                full,
+                "last resort 0",
+                call("a", 9000).priority(1).lastResort(true).expectedNanos(nanos(100)));
+        submit(
+                full,
+                "last resort 1",
+                call("a", 9000).priority(1).lastResort(true).expectedNanos(nanos(100)));
+        submit(full, "elsewhere", call("b", 9000).priority(1).expectedNanos(nanos(100)));
+        submit(full, "urgent", call("c", 9000).expectedNanos(nanos(100)));
+        assertThat(refused.keySet()).containsExactly("elsewhere");
+    }
+
     // Load pattern: burst over too little room. A call that is served late must not make the next one late.
     @Test
     void callThatMissesItsTargetGoesBehindThoseThatCanMeetIt() {
