--- a/daemon/src/test/java/io/fuchsiastand/daemon/owner/LocalBackendWorkTest.java
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/owner/LocalBackendWorkTest.java
@@ -6,10 +6,17 @@
 
 import io.fuchsiastand.config.Detection;
 import io.fuchsiastand.config.Service;
+import io.fuchsiastand.daemon.http.HeaderNames;
 import io.fuchsiastand.health.Baseline;
 import io.fuchsiastand.health.Outcome;
 import io.fuchsiastand.time.ManualClock;
 import io.fuchsiastand.work.WorkKind;
+import io.servicetalk.buffer.netty.BufferAllocators;
+import io.servicetalk.http.api.DefaultHttpHeadersFactory;
+import io.servicetalk.http.api.DefaultStreamingHttpRequestResponseFactory;
+import io.servicetalk.http.api.HttpHeaders;
+import io.servicetalk.http.api.HttpProtocolVersion;
+import io.servicetalk.http.api.StreamingHttpRequest;
 import org.junit.jupiter.api.Test;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -54,6 +61,30 @@
         assertThat(backend.busyMillis()).isWithin(1).of(150);
     }
 
+    @Test
+    void statesInAnAnswerHowBusyItIsAndWhatACallCosts() {
+        HttpHeaders h = DefaultHttpHeadersFactory.INSTANCE.newHeaders();
+        CallHeaders.writeWork(backend, KIND, h);
+        assertThat(h.get(HeaderNames.COST)).isNull();
+        run(10, 200, true, Outcome.SUCCESS);
+        CallHeaders.writeWork(backend, KIND, h);
+        assertThat(h.get(HeaderNames.COST).toString()).isEqualTo("200");
+        assertThat(h.get(HeaderNames.BUSY).toString()).isEqualTo("100");
+    }
+
+    @Test
+    void aCallCarriesTheUsualCostToTheOwner() {
+        StreamingHttpRequest request = new DefaultStreamingHttpRequestResponseFactory(
+                        BufferAllocators.DEFAULT_ALLOCATOR,
+                        DefaultHttpHeadersFactory.INSTANCE,
+                        HttpProtocolVersion.HTTP_1_1)
+                .get("/");
+        CallHeaders.write(call(request, 0.3), clock);
+        assertThat(CallHeaders.read(request, clock).usualCostMillis()).isEqualTo(0.3);
+        CallHeaders.write(call(request, 437.8), clock);
+        assertThat(CallHeaders.read(request, clock).usualCostMillis()).isEqualTo(438);
+    }
+
     private void run(int calls, long millis, boolean isAnswer, Outcome outcome) {
         for (int i = 0; i < calls; i++) {
             LocalBackend.InFlightCall c = begin();
@@ -64,8 +95,15 @@
     }
 
     private LocalBackend.InFlightCall begin() {
+        BackendCall call = call(null, 0);
+        LocalBackend.InFlightCall[] out = new LocalBackend.InFlightCall[1];
+        backend.queue().submit("team", call.deadline(), permit -> out[0] = backend.begin(permit, call), code -> {});
+        return out[0];
+    }
+
+    private BackendCall call(StreamingHttpRequest request, double usualCostMillis) {
         long deadline = clock.nanoTime() + Duration.ofSeconds(5).toNanos();
-        BackendCall call = new BackendCall(
+        return new BackendCall(
                 "a",
                 "menu",
                 "team",
@@ -79,11 +117,8 @@
                 deadline,
                 deadline,
                 KIND,
-                0,
+                usualCostMillis,
                 Baseline.UNKNOWN,
-                null);
-        LocalBackend.InFlightCall[] out = new LocalBackend.InFlightCall[1];
-        backend.queue().submit("team", deadline, permit -> out[0] = backend.begin(permit, call), code -> {});
-        return out[0];
+                request);
     }
 }
