Check a configuration before it is applied

Operators learnt from refused callers that a route had a port in its host, that a plan's rate was above the one for all services together, or that no team could call a new service: validate finds only what a daemon does not accept, and diff prints whole services.

fuchsiactl check reads the two files as apply does. It lists errors, entries that can never match or never count, and limits that contradict each other (ConfigurationAdvice), each with file and line, and what differs from the version in force, entry by entry, with what callers will see (ConfigurationEffects).

--- a/core/src/main/java/io/fuchsiastand/config/TomlFile.java
+++ b/core/src/main/java/io/fuchsiastand/config/TomlFile.java
@@ -75,7 +75,18 @@
      * @param message a description of the problem
      */
     public void addProblem(String path, String message) {
-        problems.add(new Problem(name, lineOf(path), message));
+        problems.add(problemAt(path, message));
+    }
+
+    /**
+     * Describes a problem without adding it.
+     *
+     * @param path the dotted path of the key
+     * @param message a description of the problem
+     * @return the problem with the line of the key, or of the nearest table around it
+     */
+    public Problem problemAt(String path, String message) {
+        return new Problem(name, lineOf(path), message);
     }
 
     /**
--- a/tools/src/main/java/io/fuchsiastand/tools/Command.java
+++ b/tools/src/main/java/io/fuchsiastand/tools/Command.java
@@ -37,6 +37,15 @@
      */
     abstract void run(PrintStream out);
 
+    /**
+     * Returns the exit code of the command after it has run.
+     *
+     * @return {@link Fuchsiactl#EXIT_OK}, unless the command found something that scripts must notice
+     */
+    int exitCode() {
+        return Fuchsiactl.EXIT_OK;
+    }
+
     final boolean isHelp() {
         return help;
     }
--- a/tools/src/main/java/io/fuchsiastand/tools/ConfigurationFiles.java
+++ b/tools/src/main/java/io/fuchsiastand/tools/ConfigurationFiles.java
@@ -36,7 +36,14 @@
         return r.configuration();
     }
 
-    private static TomlFile open(Path file) {
+    /**
+     * Parses a file.
+     *
+     * @param file the file
+     * @return its content, with a problem if it is not valid TOML
+     * @throws FuchsiastandException with {@link ErrorCode#CONFIGURATION} if it cannot be read
+     */
+    static TomlFile open(Path file) {
         try {
             return new TomlFile(file.toString(), Files.readString(file));
         } catch (IOException e) {
--- a/tools/src/main/java/io/fuchsiastand/tools/Fuchsiactl.java
+++ b/tools/src/main/java/io/fuchsiastand/tools/Fuchsiactl.java
@@ -21,6 +21,8 @@
     public static final int EXIT_FAILURE = 1;
     /** Exit code if the command line is invalid. */
     public static final int EXIT_USAGE = 2;
+    /** Exit code of {@code check --strict} if there are warnings. */
+    public static final int EXIT_WARNINGS = 2;
     /** Exit code if a stored object has another version than expected, such as after a change by another operator. */
     public static final int EXIT_CONFLICT = 3;
     /**
@@ -31,6 +33,7 @@
 
     private static final Map<String, Supplier<Command>> COMMANDS = new TreeMap<>(Map.ofEntries(
             Map.entry("validate", ValidateCommand::new),
+            Map.entry("check", CheckCommand::new),
             Map.entry("apply", ApplyCommand::new),
             Map.entry("diff", DiffCommand::new),
             Map.entry("get", GetCommand::new),
@@ -109,7 +112,7 @@
     private static int execute(Command command, PrintStream out, PrintStream err) {
         try {
             command.run(out);
-            return EXIT_OK;
+            return command.exitCode();
         } catch (FuchsiastandException e) {
             err.println(e.code().code() + " " + e.code().title() + ":\n" + e.getMessage());
             return switch (e.code()) {
--- a/tools/src/test/java/io/fuchsiastand/tools/FuchsiactlTest.java
+++ b/tools/src/test/java/io/fuchsiastand/tools/FuchsiactlTest.java
@@ -89,6 +89,31 @@
         assertThat(objects.list("").objects()).isEmpty();
     }
 
+    @Test
+    void checksTheFilesAndShowsWhatCallersWillSee() throws Exception {
+        runWithFiles("apply");
+        write("plans.toml", PLANS.replace("rate = 50", "rate = 0").replace("/menu", "/menus"));
+        assertThat(runWithFiles("check")).isEqualTo(0);
+        assertThat(out()).contains("plans.toml:5: a team of plan 'gold' is refused for good");
+        assertThat(out()).contains("differences from version 1: 3");
+        assertThat(out()).contains("- route */menu; its requests go to a shorter route or get 404 (FS-4040)");
+        assertThat(out()).contains("+ route */menus; its requests go to service menu");
+        assertThat(out()).contains("its teams get 429 (FS-4290) sooner");
+        assertThat(out()).contains("0 errors, 1 warnings");
+    }
+
+    @Test
+    void checkTellsScriptsWhetherThereAreErrorsOrWarnings() throws Exception {
+        String[] check = {"check", "--teams", pathOf("teams.toml"), "--plans", pathOf("plans.toml"), "--strict"};
+        assertThat(run(check)).isEqualTo(0);
+        write("plans.toml", PLANS.replace("rate = 50", "rate = 0"));
+        assertThat(run(check)).isEqualTo(Fuchsiactl.EXIT_WARNINGS);
+        write("plans.toml", PLANS.replace("burst = 10", "burst = 0"));
+        assertThat(run(check)).isEqualTo(Fuchsiactl.EXIT_FAILURE);
+        assertThat(out()).contains("error");
+        assertThat(out()).contains("plans.toml:6: 'burst'");
+    }
+
     @Test
     void givesExplainsWithdrawsAndListsKeys() {
         runWithFiles("apply");
