Let members that ask for an indirect probe of one host share it

What callers saw: connections that broke and calls that failed with 502, since daemons that had just started ended with OutOfMemoryError after half a second.

Cause: a daemon that gets a probe for another host takes it for an indirect probe and probes that host. When a host has ended and a new one has its address, the new daemon gets the probes of the old host, and probes it at its own address, again and again, until the first probe times out after 0.5 s.

Change: all members that ask for an indirect probe of a host at the same time share one, so that a probe that comes back starts no other. A daemon answers at once that a host is not there if that host had its own address.

--- a/daemon/src/main/java/io/fuchsiastand/daemon/membership/GossipController.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/membership/GossipController.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -59,6 +60,8 @@
     // The newest version of the configuration that a peer has in force, and the host that has last said so, or null.
     private final AtomicLong newestVersion = new AtomicLong();
     private final AtomicReference<String> newestVersionHolder = new AtomicReference<>();
+    // The outstanding probes on behalf of other members, by the host that is probed.
+    private final Map<String, CompletableFuture<Boolean>> indirectProbes = new ConcurrentHashMap<>();
     private volatile boolean synced;
     private long lastSync;
     // When the seeds and a dead member were last probed; 0 to probe them at the next tick.
@@ -191,16 +194,35 @@
             replyConsumer.accept(gossip.createReply(true, known));
         } else {
             Member target = board.members().find(request.getTarget()).orElse(null);
-            if (target == null) {
+            if (target == null || hasAddressOfThisHost(target)) {
                 replyConsumer.accept(gossip.createReply(false, known));
                 return;
             }
-            sendProbe(target, target.host(), Membership.PROBE_TIMEOUT)
-                    .whenComplete((r, e) ->
-                            replyConsumer.accept(gossip.createReply(e == null && r.getAcknowledged(), known)));
+            probeOnBehalf(target).thenAccept(a -> replyConsumer.accept(gossip.createReply(a, known)));
         }
     }
 
+    // After a host has ended, another one may get its address and then receives its probes.
+    private boolean hasAddressOfThisHost(Member m) {
+        Member self = board.members().self();
+        return m.address().equals(self.address()) && m.peerPort() == self.peerPort();
+    }
+
+    // All members that ask at the same time share one probe. If each got its own, a probe that comes back here, because
+    // the target has the address of another host, would be passed on without end.
+    private CompletableFuture<Boolean> probeOnBehalf(Member target) {
+        CompletableFuture<Boolean> result = new CompletableFuture<>();
+        CompletableFuture<Boolean> running = indirectProbes.putIfAbsent(target.host(), result);
+        if (running != null) {
+            return running;
+        }
+        sendProbe(target, target.host(), Membership.PROBE_TIMEOUT).whenComplete((r, e) -> {
+            indirectProbes.remove(target.host());
+            result.complete(e == null && r.getAcknowledged());
+        });
+        return result;
+    }
+
     /**
      * Answers a request of an anti-entropy exchange.
      *
