Suspect a member when another host answers at its address

What callers saw: calls went to hosts that had ended for as long as their address answered.

Cause: a daemon that has the address of a host that has ended answers the probes of that host with "not acknowledged". The sender took any answer to a direct probe for one of the member.

Change: a direct probe that is not acknowledged counts like one without an answer: the member is probed through others, then suspected and declared dead.

Result: ReusedAddressTest found the member alive after 5 s before the change, and suspected now.

--- a/daemon/src/main/java/io/fuchsiastand/daemon/membership/GossipController.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/membership/GossipController.java
@@ -270,7 +270,7 @@
 
     private void probe(Member target) {
         sendProbe(target, target.host(), Membership.PROBE_TIMEOUT).whenComplete((r, e) -> {
-            if (e != null) {
+            if (e != null || !r.getAcknowledged()) {
                 probeIndirectly(target);
             }
         });
--- a/daemon/src/test/java/io/fuchsiastand/daemon/membership/ReusedAddressTest.java
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/membership/ReusedAddressTest.java
@@ -36,6 +36,7 @@
     private final Peers peers = new Peers(transport, board.clock());
     private final GossipController gossip = new GossipController(board, peers, List::of);
     private final AtomicInteger probes = new AtomicInteger();
+    private volatile boolean answersFalse;
     private Server server;
 
     @BeforeEach
@@ -44,6 +45,11 @@
             @Override
             public void probe(ProbeRequest request, StreamObserver<ProbeReply> out) {
                 probes.incrementAndGet();
+                if (answersFalse) {
+                    out.onNext(ProbeReply.getDefaultInstance());
+                    out.onCompleted();
+                    return;
+                }
                 gossip.onProbe(request, r -> {
                     out.onNext(r);
                     out.onCompleted();
@@ -84,4 +90,21 @@
         assertThat(reply.get(MAX_SECONDS, TimeUnit.SECONDS).getAcknowledged()).isFalse();
         assertThat(probes.get()).isAtMost(1);
     }
+
+    @Test
+    void suspectsAMemberAtWhoseAddressAnotherHostAnswers() throws Exception {
+        answersFalse = true;
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(MAX_SECONDS);
+
+        gossip.tick();
+        while (stateOfEnded() == MemberState.ALIVE && System.nanoTime() < end) {
+            Thread.sleep(10);
+        }
+
+        assertThat(stateOfEnded()).isEqualTo(MemberState.SUSPECT);
+    }
+
+    private MemberState stateOfEnded() {
+        return board.members().find("ended").orElseThrow().state();
+    }
 }
