--- a/daemon/src/test/java/io/fuchsiastand/daemon/RepeatedRefusalTest.java
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/RepeatedRefusalTest.java
@@ -63,8 +63,7 @@
 
     // The backend server also records connections that the daemon breaks off.
     private int requests() {
-        return (int)
-                backend.events.stream().filter(e -> e.startsWith("POST ")).count();
+        return (int) backend.events.stream().filter(e -> e.startsWith("POST ")).count();
     }
 
     private String call() {
