--- a/daemon/src/main/java/io/fuchsiastand/daemon/Daemon.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/Daemon.java
@@ -9,9 +9,11 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.random.RandomGenerator;
 
 import io.fuchsiastand.daemon.admin.AdminService;
 import io.fuchsiastand.daemon.admin.FleetStatus;
+import io.fuchsiastand.daemon.admission.RequestAdmission;
 import io.fuchsiastand.daemon.board.Blackboard;
 import io.fuchsiastand.daemon.board.Lifecycle;
 import io.fuchsiastand.daemon.board.Settings;
@@ -33,6 +35,7 @@
 import io.fuchsiastand.daemon.metrics.RequestLog;
 import io.fuchsiastand.daemon.owner.BackendController;
 import io.fuchsiastand.daemon.owner.OwnerService;
+import io.fuchsiastand.daemon.owner.SlotAdmission;
 import io.fuchsiastand.daemon.store.ConfigurationController;
 import io.fuchsiastand.daemon.store.ConfigurationWatch;
 import io.fuchsiastand.daemon.store.JoinController;
@@ -129,8 +132,7 @@
         join = new JoinController(board, store, gossip, configurationWatch.isPresent() ? tokenIssuers::tick : () -> {});
         platform = new PlatformController(board, store, limits, configuration::missingChunks);
         RequestLog log = new RequestLog(clock);
-        owner = new OwnerService(
-                backends::find, backends::leave, clock, settings.host(), conventions, log, transport.timer());
+        owner = createOwner(conventions, log);
         RetryBudgets retryBudgets = new RetryBudgets(board, peers, backends::retryShare);
         Dispatcher dispatcher =
                 new Dispatcher(board, peers, owner, metrics, conventions, log, retryBudgets, transport.timer());
@@ -263,6 +265,28 @@
         return idempotency.isTransferComplete();
     }
 
+    private OwnerService createOwner(HeaderConventions conventions, RequestLog log) {
+        Settings settings = board.settings();
+        RequestAdmission admission =
+                new RequestAdmission(settings.scheduling().admission(), board.clock(), conventions, log, metrics);
+        return new OwnerService(
+                backends::find,
+                backends::leave,
+                board.clock(),
+                settings.host(),
+                conventions,
+                log,
+                new SlotAdmission(
+                        board.clock(),
+                        conventions,
+                        log,
+                        metrics,
+                        admission,
+                        transport.timer(),
+                        RandomGenerator.getDefault()),
+                transport.timer());
+    }
+
     private void startControllers() {
         configuration.start();
         new KeyController(board).start();
@@ -272,6 +296,8 @@
         tokenIssuers.start();
         metrics.registerGauge("fuchsiastand_in_flight", callerService::inFlight);
         metrics.registerGauge("fuchsiastand_members", board::fleetSize);
+        metrics.registerGauge("fuchsiastand_expected_busy_ms", backends::expectedBusyMillis);
+        metrics.registerGauge("fuchsiastand_expected_work_error", backends::expectedWorkError);
         metrics.registerGauge(
                 "fuchsiastand_configuration_version",
                 () -> board.configuration().get().configuration().version());
--- a/daemon/src/main/java/io/fuchsiastand/daemon/Warmup.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/Warmup.java
@@ -7,15 +7,20 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.random.RandomGenerator;
 
 import io.fuchsiastand.config.Detection;
 import io.fuchsiastand.config.Service;
+import io.fuchsiastand.daemon.admission.RequestAdmission;
+import io.fuchsiastand.daemon.board.Scheduling;
 import io.fuchsiastand.daemon.http.HeaderConventions;
 import io.fuchsiastand.daemon.http.HeaderNames;
 import io.fuchsiastand.daemon.http.Transport;
+import io.fuchsiastand.daemon.metrics.Metrics;
 import io.fuchsiastand.daemon.metrics.RequestLog;
 import io.fuchsiastand.daemon.owner.LocalBackend;
 import io.fuchsiastand.daemon.owner.OwnerService;
+import io.fuchsiastand.daemon.owner.SlotAdmission;
 import io.fuchsiastand.time.Clock;
 import io.servicetalk.concurrent.api.Completable;
 import io.servicetalk.concurrent.api.Publisher;
@@ -59,14 +64,25 @@
                             WARM_UP_NAME, WARM_UP_NAME, LOOPBACK, port(echo), CONCURRENT_CALLS, 60),
                     new Service(WARM_UP_NAME, 0, TIME_LIMIT, CONCURRENT_CALLS, Detection.CAREFUL, List.of()),
                     echoClient,
-                    clock);
+                    clock,
+                    Scheduling.DEFAULT);
+            RequestLog log = new RequestLog(clock);
+            Metrics metrics = new Metrics();
             OwnerService owner = new OwnerService(
                     id -> Optional.of(backend),
                     b -> {},
                     clock,
                     WARM_UP_NAME,
                     HeaderConventions.DEFAULT,
-                    new RequestLog(clock),
+                    log,
+                    new SlotAdmission(
+                            clock,
+                            HeaderConventions.DEFAULT,
+                            log,
+                            metrics,
+                            new RequestAdmission(false, clock, HeaderConventions.DEFAULT, log, metrics),
+                            transport.timer(),
+                            RandomGenerator.getDefault()),
                     transport.timer());
             try (ServerContext server = transport.plainServer(owner);
                     StreamingHttpClient client = transport.backendClient(LOOPBACK, port(server))) {
--- a/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/CallAttempts.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/CallAttempts.java
@@ -23,6 +23,11 @@
     // server.
     static final int ATTEMPT_LIMIT = 8;
 
+    // After this number of candidates whose queues would let the call wait too long, it waits at the best of them. More
+    // candidates add little to the choice (the power of d choices).
+    private static final int MAX_QUEUES_ASKED = 3;
+
+    private static final long NANOS_PER_MILLI = 1_000_000;
     private static final int LARGE_BODY_BYTES = 16 * 1024;
 
     final RoutedRequest routed;
@@ -42,6 +47,10 @@
     // Of the candidates whose circuit breaker rejected the request, the one with the lowest probability of a fault.
     private Candidate lastResortCandidate;
     double minFaultProbability = 1;
+    // Of the candidates whose queues would let the request wait too long, the one with the shortest expected wait.
+    private Candidate shortestQueue;
+    private long shortestQueueMillis;
+    private int queuesAsked;
     // Whether the request is sent to the last resort candidate, regardless of its circuit breaker.
     boolean lastResort;
     // Whether the current attempt is a trial call to a backend server that is out of rotation.
@@ -69,8 +78,13 @@
     }
 
     // After an attempt that reached no backend server, another attempt starts only in the first half of the time
-    // until the deadline, so that the caller of a refused request has time to retry.
-    private boolean isInFirstHalf() {
+    // until the deadline, so that the caller of a refused request has time to retry. A call without a team is assumed
+    // to
+    // come from a backend server that runs another request, which fails if the call is refused.
+    private boolean hasTimeForAnotherOwner() {
+        if (routed.team().isEmpty()) {
+            return true;
+        }
         long now = clock.nanoTime();
         return now - startNanos < (routed.deadline() - startNanos) / 2;
     }
@@ -82,6 +96,26 @@
         }
     }
 
+    // Records that a request would wait too long for a slot of a candidate.
+    void recordQueueFull(Candidate c, long waitMillis) {
+        queuesAsked++;
+        if (shortestQueue == null || waitMillis < shortestQueueMillis) {
+            shortestQueue = c;
+            shortestQueueMillis = waitMillis;
+        }
+    }
+
+    boolean hasAskedEnough() {
+        return attempts > ATTEMPT_LIMIT || queuesAsked >= MAX_QUEUES_ASKED;
+    }
+
+    // Whether the request can still wait at the candidate with the shortest queue.
+    private boolean canWait() {
+        return shortestQueue != null
+                && !lastResort
+                && clock.nanoTime() + shortestQueueMillis * NANOS_PER_MILLI - routed.deadline() < 0;
+    }
+
     // Records a refusal by the daemon of a candidate's host.
     void recordRefusal(long waitMillis, boolean isRateLimited) {
         rateLimited |= isRateLimited;
@@ -132,6 +166,10 @@
     }
 
     Optional<Candidate> takeLastResort() {
+        if (canWait()) {
+            lastResort = true;
+            return Optional.of(shortestQueue);
+        }
         if (!hasLastResort()) {
             return Optional.empty();
         }
@@ -139,6 +177,14 @@
         return Optional.of(lastResortCandidate);
     }
 
+    // The answer to a request that was refused after an attempt that failed at a backend server.
+    static RefusalException failedBefore(String lastRefusal, Throwable cause) {
+        return RefusalException.mayHaveRun(
+                ErrorCode.BACKEND_FAILED,
+                "a backend server failed; then the request was refused: " + lastRefusal,
+                cause);
+    }
+
     // Returns whether another attempt is allowed. If the failed attempt was sent to a backend server, adds it to
     // failedSends and, if another one is allowed, takes a retry from the budget. If it was not sent, the next one
     // is no retry for the service: failedSends and the budget do not change.
@@ -148,7 +194,7 @@
             return false;
         }
         if (notSent) {
-            return isInFirstHalf() && (attempts < ATTEMPT_LIMIT || hasLastResort());
+            return canWait() || (hasTimeForAnotherOwner() && (attempts < ATTEMPT_LIMIT || hasLastResort()));
         }
         if (attempts >= ATTEMPT_LIMIT) {
             return false;
--- a/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/Dispatcher.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/Dispatcher.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.net.ConnectException;
 import java.time.Duration;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
@@ -11,7 +10,7 @@
 import java.util.concurrent.TimeoutException;
 import java.util.function.Supplier;
 
-import io.fuchsiastand.config.WeightedService;
+import io.fuchsiastand.daemon.admission.RequestAdmission;
 import io.fuchsiastand.daemon.board.Blackboard;
 import io.fuchsiastand.daemon.board.Lifecycle;
 import io.fuchsiastand.daemon.edge.RoutedRequest;
@@ -33,6 +32,7 @@
 import io.servicetalk.buffer.api.Buffer;
 import io.servicetalk.buffer.netty.BufferAllocators;
 import io.servicetalk.concurrent.Executor;
+import io.servicetalk.concurrent.api.Completable;
 import io.servicetalk.concurrent.api.Publisher;
 import io.servicetalk.concurrent.api.Single;
 import io.servicetalk.http.api.DefaultHttpHeadersFactory;
@@ -74,6 +74,7 @@
     private final Blackboard board;
     private final Peers peers;
     private final OwnerService owner;
+    private final RequestAdmission admission;
     private final Metrics metrics;
     private final HeaderConventions conventions;
     private final RequestLog log;
@@ -81,6 +82,7 @@
     private final Executor timer;
     private final BodyBudget bodyBudget = new BodyBudget(Runtime.getRuntime().maxMemory() / KEPT_BODIES_HEAP_DIVISOR);
     private final RetryBudgets budgets;
+    private final WorkReports work;
     private final Map<String, ServiceBaseline> baselines = new ConcurrentHashMap<>();
     private final StreamingHttpRequestFactory requestFactory = new DefaultStreamingHttpRequestResponseFactory(
             BufferAllocators.DEFAULT_ALLOCATOR, DefaultHttpHeadersFactory.INSTANCE, HttpProtocolVersion.HTTP_1_1);
@@ -112,8 +114,10 @@
         this.conventions = conventions;
         answerCheck = new AnswerCheck(conventions, log);
         this.board = board;
+        work = new WorkReports(board);
         this.peers = peers;
         this.owner = owner;
+        admission = owner.admission();
         this.metrics = metrics;
     }
 
@@ -131,7 +135,7 @@
         h.remove(HeaderNames.AUTHORIZATION);
         conventions.reservedHeaders().forEach(h::remove);
         h.add("via", VIA);
-        String service = chooseService(routed);
+        String service = routed.chooseService(ThreadLocalRandom.current());
         if (!RequestCheck.hasBody(request)) {
             return start(newAttempts(routed, service, EMPTY_BODY));
         }
@@ -183,34 +187,27 @@
 
     private Single<StreamingHttpResponse> start(CallAttempts a) {
         budgets.recordRequest(a.service, a.routed);
-        // The result of the last attempt may state that the request has not run. That is corrected here if an earlier
-        // attempt may have run.
-        return nextAttempt(a)
+        // The result of the last attempt may state that the request has not run, by its status as well. It is replaced
+        // by a failure if an earlier attempt may have run.
+        return admission
+                .followOutgoing(a.routed, a.service, nextAttempt(a))
                 .afterFinally(() -> logExhaustedBudget(a))
-                .onErrorMap(RefusalException.class, r -> a.mayHaveRun && r.isNotRun() ? r.withUnknownRunState() : r)
-                .map(r -> {
+                .onErrorMap(
+                        RefusalException.class,
+                        r -> a.mayHaveRun && r.isNotRun() ? CallAttempts.failedBefore(r.getMessage(), r) : r)
+                .flatMap(r -> {
                     if (a.mayHaveRun && HeaderNames.isNotRun(r.headers())) {
-                        r.headers().set(HeaderNames.RUN_STATE, HeaderNames.UNKNOWN);
+                        return drain(r).concat(failed(CallAttempts.failedBefore(
+                                "a backend server refused it with status "
+                                        + r.status().code(),
+                                null)));
                     }
-                    return r;
+                    return succeeded(r);
                 });
     }
 
-    // If the chosen service of the split lacks capacity, the request is refused and not sent to another service.
-    private String chooseService(RoutedRequest routed) {
-        List<WeightedService> split = routed.match().route().split();
-        if (split.isEmpty()) {
-            return routed.match().service().name();
-        }
-        double total = split.stream().mapToDouble(WeightedService::weight).sum();
-        double remaining = ThreadLocalRandom.current().nextDouble() * total;
-        for (WeightedService w : split) {
-            remaining -= w.weight();
-            if (remaining < 0) {
-                return w.service();
-            }
-        }
-        return split.get(split.size() - 1).service();
+    private Completable drain(StreamingHttpResponse r) {
+        return r.messageBody().ignoreElements().timeout(MAX_DRAIN_TIME, timer).onErrorComplete();
     }
 
     private Single<StreamingHttpResponse> nextAttempt(CallAttempts a) {
@@ -221,10 +218,7 @@
         Optional<Candidate> forTrial =
                 a.mayTry() ? board.directory().pickForTrial(a.service, ThreadLocalRandom.current()) : Optional.empty();
         a.trial = forTrial.isPresent();
-        Optional<Candidate> picked = forTrial.or(() -> a.attempts > CallAttempts.ATTEMPT_LIMIT
-                        ? Optional.empty()
-                        : board.directory()
-                                .pick(a.service, a.tried, a.maxLocalUtilisation(), ThreadLocalRandom.current()))
+        Optional<Candidate> picked = forTrial.or(() -> a.hasAskedEnough() ? Optional.empty() : work.pick(a))
                 .or(a::takeLastResort);
         if (picked.isEmpty()) {
             return failed(a.finalRefusal(RETRY_AFTER_MILLIS));
@@ -234,7 +228,7 @@
         if (a.lastResort) {
             log.write("last resort", idOf(a), "server", c.server().id(), "suspicion", a.minFaultProbability);
         }
-        c.begin();
+        work.begin(a.kind, c);
         Attempt attempt = new Attempt(c, a.trial, board.clock());
         return defer(() -> send(a, c))
                 .beforeCancel(attempt::endWithoutResult)
@@ -260,6 +254,7 @@
                 x.deadline(),
                 x.target(),
                 a.kind,
+                work.usualMillis(a.kind),
                 baseline(a.service).latest(),
                 request);
         if (c.host().equals(board.settings().host())) {
@@ -280,6 +275,10 @@
     }
 
     private Single<StreamingHttpResponse> onError(CallAttempts a, Attempt attempt, Throwable e) {
+        if (e instanceof RefusalException r && r.code() == ErrorCode.NO_ROOM_FOR_CALLS) {
+            attempt.endWithoutResult();
+            return failed(r);
+        }
         if (e instanceof RefusalException r) {
             boolean rateLimited = r.code() == ErrorCode.BACKEND_RATE_LIMITED;
             if (rateLimited) {
@@ -288,6 +287,12 @@
                 attempt.endFailed(-1);
             }
             a.recordRefusal(r.retryAfterMillis(), rateLimited);
+            if (r.code() == ErrorCode.QUEUE_FULL && r.isNotSent()) {
+                recordQueueFull(a, attempt, r.retryAfterMillis());
+            }
+            if (!r.isNotSent()) {
+                work.recordFailure(attempt.candidate());
+            }
             attempt.recordTrial(!r.isNotSent());
             a.recordFaultProbability(attempt.candidate(), r.faultProbability());
             return onRefusal(a, r);
@@ -334,10 +339,20 @@
         boolean notSent = h.contains(HeaderNames.NOT_SENT);
         String server =
                 attempt.candidate().host() + '/' + attempt.candidate().server().id();
+        admission.hear(a.service, server, h);
+        if (h.contains(HeaderNames.REFUSED_BEFORE_START)) {
+            attempt.endWithoutResult();
+            a.recordRefusal(HeaderNames.parseLong(h.get(HeaderNames.WAIT), 0), false);
+            return passOn(a, r, true, true);
+        }
         ServerSummary.parse(h.get(HeaderNames.SUMMARY))
                 .ifPresent(x -> baseline(a.service).observe(server, x));
         boolean failed = notRun || (status >= SERVER_ERROR && status != NOT_IMPLEMENTED);
         attempt.recordTrial(!notSent);
+        work.read(a.kind, attempt.candidate(), h);
+        if (failed && !notSent) {
+            work.recordFailure(attempt.candidate());
+        }
         recordEnd(a, attempt, h, failed);
         if (!h.contains(HeaderNames.REFUSED_BY) || h.contains(HeaderNames.RATE_LIMITED)) {
             attempt.candidate().recordRateLimit(HeaderNames.rateLimitOf(h));
@@ -349,15 +364,7 @@
             return passOn(a, r, notRun, notSent);
         }
         return retryOr(
-                a,
-                notRun,
-                notSent,
-                () -> r.messageBody()
-                        .ignoreElements()
-                        .timeout(MAX_DRAIN_TIME, timer)
-                        .onErrorComplete()
-                        .concat(defer(() -> retry(a))),
-                () -> passOn(a, r, notRun, notSent));
+                a, notRun, notSent, () -> drain(r).concat(defer(() -> retry(a))), () -> passOn(a, r, notRun, notSent));
     }
 
     // Retries if that is allowed, with a retry of another daemon if the budget of this one is used up.
@@ -406,6 +413,9 @@
         long waitMillis = HeaderNames.parseLong(h.get(HeaderNames.WAIT), 0);
         boolean rateLimited = h.contains(HeaderNames.RATE_LIMITED);
         a.recordRefusal(waitMillis, rateLimited);
+        if (h.contains(HeaderNames.QUEUE_FULL)) {
+            recordQueueFull(a, attempt, waitMillis);
+        }
         if (rateLimited) {
             attempt.endRateLimited(waitMillis);
         } else {
@@ -413,6 +423,12 @@
         }
     }
 
+    private void recordQueueFull(CallAttempts a, Attempt attempt, long waitMillis) {
+        if (board.settings().scheduling().deadlineOrder()) {
+            a.recordQueueFull(attempt.candidate(), waitMillis);
+        }
+    }
+
     private void logRefusalByOwner(CallAttempts a, StreamingHttpResponse r, boolean notRun) {
         CharSequence refusedBy = r.headers().get(HeaderNames.REFUSED_BY);
         if (refusedBy != null) {
--- a/daemon/src/main/java/io/fuchsiastand/daemon/edge/RoutedRequest.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/edge/RoutedRequest.java
@@ -1,5 +1,9 @@
 package io.fuchsiastand.daemon.edge;
 
+import java.util.List;
+import java.util.random.RandomGenerator;
+
+import io.fuchsiastand.config.WeightedService;
 import io.fuchsiastand.routing.RouteMatch;
 import io.servicetalk.http.api.StreamingHttpRequest;
 
@@ -36,4 +40,27 @@
     public boolean isIdempotent() {
         return match.route().idempotency().isIdempotent(request.method().name());
     }
+
+    /**
+     * Chooses the service that the request goes to, by the weights of the split of its route. If that service lacks capacity, the
+     * request is refused and not sent to another one.
+     *
+     * @param random the source of random numbers
+     * @return the name of the service
+     */
+    public String chooseService(RandomGenerator random) {
+        List<WeightedService> split = match.route().split();
+        if (split.isEmpty()) {
+            return match.service().name();
+        }
+        double total = split.stream().mapToDouble(WeightedService::weight).sum();
+        double remaining = random.nextDouble() * total;
+        for (WeightedService w : split) {
+            remaining -= w.weight();
+            if (remaining < 0) {
+                return w.service();
+            }
+        }
+        return split.get(split.size() - 1).service();
+    }
 }
--- a/daemon/src/main/java/io/fuchsiastand/daemon/owner/LocalBackend.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/owner/LocalBackend.java
@@ -6,7 +6,9 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
 
+import io.fuchsiastand.admission.RoomMeter;
 import io.fuchsiastand.config.Service;
+import io.fuchsiastand.daemon.board.Scheduling;
 import io.fuchsiastand.health.BackendHealth;
 import io.fuchsiastand.health.Baseline;
 import io.fuchsiastand.health.FaultCircuitBreaker;
@@ -14,6 +16,7 @@
 import io.fuchsiastand.health.TrialPacer;
 import io.fuchsiastand.limit.BackendRateLimit;
 import io.fuchsiastand.queue.FairQueue;
+import io.fuchsiastand.queue.QueueOrder;
 import io.fuchsiastand.routing.BackendServer;
 import io.fuchsiastand.routing.BackendState;
 import io.fuchsiastand.time.Clock;
@@ -40,6 +43,7 @@
     private final BackendHealth health;
     private final FaultCircuitBreaker circuitBreaker = new FaultCircuitBreaker();
     private final TrialPacer ejectionTrials = new TrialPacer();
+    private final RoomMeter roomMeter;
     private final Clock clock;
     private final Map<Long, InFlightCall> calls = new ConcurrentHashMap<>();
     private final long incarnation;
@@ -50,6 +54,7 @@
     private volatile long lastCallNanos;
     private volatile boolean idleReported;
     private final BackendRateLimit rateLimit = new BackendRateLimit();
+    private final BackendWork work;
     // Whether a response of the backend server has named a limit or named none.
     private volatile boolean rateLimitHeard;
     private volatile boolean excessReported;
@@ -114,6 +119,7 @@
         private final BackendCall call;
         // Time from the start to the head of the response, or 0 before it has arrived.
         private volatile double headMillis;
+        private volatile boolean answered;
         private boolean recorded;
         private boolean ended;
 
@@ -140,6 +146,9 @@
                 ejectionTrials.record(outcome);
             }
             recordOutcome(outcome);
+            if (outcome == Outcome.SUCCESS && answered) {
+                work.learn(call.kind(), elapsedMillis());
+            }
             if (outcome == Outcome.SUCCESS) {
                 circuitBreaker.recordSuccess(clock.nanoTime());
             } else if (outcome != Outcome.FAILURE) {
@@ -177,9 +186,17 @@
 
         /**
          * Records the arrival of the head of the response, which ends the service time.
+         *
+         * @param isAnswer whether the response is the result that the call asked for; an error tells nothing about the work of
+         *     such calls
          */
-        public void recordResponseHead() {
+        public void recordResponseHead(boolean isAnswer) {
             headMillis = elapsedMillis();
+            answered = isAnswer;
+        }
+
+        private double remainingMillis() {
+            return headMillis > 0 ? 0 : work.estimates().remainingMillis(call.kind(), elapsedMillis());
         }
 
         // A call that takes far longer than the slow calls of the service is recorded as a failure before its deadline.
@@ -202,14 +219,23 @@
      * @param service the settings of its service
      * @param client the client that connects to it
      * @param clock the clock
+     * @param scheduling which decisions are made by expected work
      */
-    public LocalBackend(Announcement announcement, Service service, StreamingHttpClient client, Clock clock) {
+    public LocalBackend(
+            Announcement announcement,
+            Service service,
+            StreamingHttpClient client,
+            Clock clock,
+            Scheduling scheduling) {
         this.announcement = announcement;
         this.client = client;
         this.clock = clock;
         incarnation = announcement.born() == 0 ? clock.now().toEpochMilli() : announcement.born();
-        queue = new FairQueue(announcement.slots(), service.queue(), clock);
+        QueueOrder order = scheduling.deadlineOrder() ? QueueOrder.DUE_DATE : QueueOrder.ARRIVAL;
+        queue = new FairQueue(announcement.slots(), service.queue(), clock, order);
+        work = new BackendWork(announcement.id(), scheduling.byWork());
         health = new BackendHealth(service.detection(), clock.nanoTime());
+        roomMeter = new RoomMeter(clock);
         lastCallNanos = clock.nanoTime();
         renew(announcement);
     }
@@ -241,6 +267,15 @@
         return queue;
     }
 
+    /**
+     * Returns the room meter.
+     *
+     * @return the meter of the calls that found no room
+     */
+    public RoomMeter roomMeter() {
+        return roomMeter;
+    }
+
     /**
      * Returns the health.
      *
@@ -297,6 +332,25 @@
         return c;
     }
 
+    /**
+     * Returns the expected work of its calls.
+     *
+     * @return the work
+     */
+    public BackendWork work() {
+        return work;
+    }
+
+    /**
+     * Returns the time for which the slots are expected to be busy with the calls in flight, those that wait and one more.
+     *
+     * @return milliseconds
+     */
+    public double busyMillis() {
+        return work.busyMillis(
+                calls.values().stream().mapToDouble(InFlightCall::remainingMillis), announcement.slots());
+    }
+
     /**
      * Returns the number of calls in flight.
      *
--- a/daemon/src/test/java/io/fuchsiastand/daemon/RepeatedRefusalTest.java
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/RepeatedRefusalTest.java
@@ -51,16 +51,21 @@
         String[] parts = refusals.split("\\|");
         backend.response = parts[0];
         assertThat(call()).startsWith("HTTP/1.1 503");
-        int refused = backend.events.size();
+        int refused = requests();
         backend.response = SUCCESS;
         backend.bytesBeforeNextResponse = parts.length > 1 ? parts[1] : "";
         String answer = call();
 
-        assertThat(backend.events).hasSize(refused + 1);
+        assertThat(requests()).isEqualTo(refused + 1);
         assertThat(answer).doesNotContain("HTTP/1.1 503");
         assertThat(answer).doesNotContain("not-run");
     }
 
+    // The backend server also records connections that the daemon breaks off.
+    private int requests() {
+        return (int) backend.events.stream().filter(e -> e.startsWith("POST ")).count();
+    }
+
     private String call() {
         try (Socket s = new Socket("127.0.0.1", fleet.settings.get(1).ports().callers())) {
             s.setSoTimeout(10_000);
