Send on nothing that a joining daemon gets from its fleet

What callers saw: nothing but dear traffic: starts filled the links between data centres.

Cause: a daemon that joins a fleet of n hosts gets the list of members from a seed and the records of all hosts by anti-entropy. It took them for news and sent each member 1 + log2 n times and each record four times to its neighbours, which have them, and its own state after all others.

Change: a daemon that has known no other member does not send on the list that it gets, nor the records of exchanges before one has found all records equal. When two groups of daemons become one, the list is sent on as before.

--- a/core/src/main/java/io/fuchsiastand/membership/Gossip.java
+++ b/core/src/main/java/io/fuchsiastand/membership/Gossip.java
@@ -109,6 +109,27 @@
         newRecords.forEach(records::put);
     }
 
+    /**
+     * Applies the list of members that a daemon of the fleet sends to one that joins it. If this daemon has known no other
+     * member, it does not send the updates on, since the fleet has them. Otherwise two groups of daemons become one, and its
+     * own group needs them.
+     *
+     * @param list the members
+     */
+    public void receiveList(List<MemberUpdate> list) {
+        members.applyList(list);
+    }
+
+    /**
+     * Stores the records that this daemon gets by anti-entropy while it joins the fleet. It does not send them on, since the
+     * fleet has them.
+     *
+     * @param newRecords the records
+     */
+    public void receiveWhileJoining(List<Record> newRecords) {
+        newRecords.forEach(records::putWithoutGossip);
+    }
+
     /**
      * Creates the reply to a probe.
      *
--- a/core/src/main/java/io/fuchsiastand/membership/Membership.java
+++ b/core/src/main/java/io/fuchsiastand/membership/Membership.java
@@ -282,7 +282,22 @@
      * @param updates the updates
      */
     public void apply(Collection<MemberUpdate> updates) {
+        apply(updates, false);
+    }
+
+    /**
+     * Applies a list of members from another daemon. Does not queue the updates for sending if this daemon knows no other
+     * member.
+     *
+     * @param list updates about all members that the other daemon knows
+     */
+    public void applyList(Collection<MemberUpdate> list) {
+        apply(list, true);
+    }
+
+    private void apply(Collection<MemberUpdate> updates, boolean isList) {
         synchronized (this) {
+            boolean alone = members.size() == 1;
             for (MemberUpdate u : updates) {
                 if (u.getHost().equals(self)) {
                     refute(u);
@@ -290,6 +305,9 @@
                     recordMember(Member.of(u, clock.nanoTime()));
                 }
             }
+            if (isList && alone) {
+                remainingTransmissions.keySet().retainAll(Set.of(self));
+            }
         }
         notifyListeners();
     }
--- a/daemon/src/main/java/io/fuchsiastand/daemon/membership/GossipController.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/membership/GossipController.java
@@ -259,7 +259,8 @@
                                 Logger.info(
                                         "the seed at {}:{} answered and sent its list of members", s.host(), s.port());
                                 // The reply of a seed has no records.
-                                receive("", r.getUpdatesList(), List.of());
+                                gossip.receiveList(r.getUpdatesList());
+                                recordPeerContact();
                             } else if (seeds.size() > MAX_SEEDS_PER_ROUND) {
                                 // The join records of hosts that no longer exist must not use up the limit, since
                                 // this daemon would then never probe the other seeds.
@@ -318,7 +319,16 @@
                 synced = true;
                 return;
             }
-            sendSync(with, next.get()).thenAccept(reply -> receive(with.host(), List.of(), reply.getRecordsList()));
+            boolean joining = !synced;
+            sendSync(with, next.get()).thenAccept(reply -> {
+                List<Record> others = withoutVersion(with.host(), reply.getRecordsList());
+                if (joining) {
+                    gossip.receiveWhileJoining(others);
+                } else {
+                    gossip.receive(List.of(), others);
+                }
+                recordPeerContact();
+            });
         });
     }
 
@@ -339,6 +349,11 @@
     }
 
     private void receive(String from, List<MemberUpdate> updates, List<Record> records) {
+        gossip.receive(updates, withoutVersion(from, records));
+        recordPeerContact();
+    }
+
+    private List<Record> withoutVersion(String from, List<Record> records) {
         List<Record> others = new ArrayList<>();
         for (Record r : records) {
             if (r.getName().equals(ConfigurationCodec.VERSION_NAME)) {
@@ -347,8 +362,7 @@
                 others.add(r);
             }
         }
-        gossip.receive(updates, others);
-        recordPeerContact();
+        return others;
     }
 
     private void recordPeerContact() {
