Count a backend server that has just started as idle

A backend server that joined was taken to be as busy as all others until its owner had answered a call, while those around it turned calls away. Its busy time now starts at zero and approaches the usual one like an old report.

--- a/core/src/main/java/io/fuchsiastand/routing/Candidate.java
+++ b/core/src/main/java/io/fuchsiastand/routing/Candidate.java
@@ -52,11 +52,12 @@
      * @param host the host of the backend server
      * @param server the description of the backend server
      * @param work the work at all backend servers of its service
+     * @param now monotonic time in nanoseconds
      */
-    public Candidate(String host, BackendServer server, ServiceWork work) {
+    public Candidate(String host, BackendServer server, ServiceWork work, long now) {
         this.host = host;
         this.server = server;
-        busyTime = new BusyTime(work);
+        busyTime = new BusyTime(work, now);
     }
 
     /**
--- a/core/src/main/java/io/fuchsiastand/routing/ServiceDirectory.java
+++ b/core/src/main/java/io/fuchsiastand/routing/ServiceDirectory.java
@@ -323,7 +323,7 @@
         ProcessKey key = new ProcessKey(host, s.id(), s.incarnation());
         Candidate c = removed.remove(key);
         if (c == null || !isSameProcess(c.server(), s)) {
-            c = new Candidate(host, s, work(s.service()));
+            c = new Candidate(host, s, work(s.service()), clock.nanoTime());
         } else {
             c.setServer(s);
         }
--- a/core/src/main/java/io/fuchsiastand/work/BusyTime.java
+++ b/core/src/main/java/io/fuchsiastand/work/BusyTime.java
@@ -6,7 +6,8 @@
  * Join the shortest queue by work, with reports that are old: how long an ingress daemon expects the slots of one backend server
  * to be busy. The time starts from the latest report of the owner, and the daemon's own calls since are added. As the
  * report ages, the time returns to the usual one of the service, because the calls that the report counts end and others
- * begin that are unknown here. Without a report, the backend server is expected to be as busy as usual.
+ * begin that are unknown here. A backend server
+ * that has just been found counts as idle, as it is if it has just started.
  *
  * <p>Thread-safe and without locks.
  */
@@ -19,20 +20,21 @@
     private static final double SMOOTHING = 0.5;
     private static final long NANOS_PER_MILLI = 1_000_000;
     private static final long TIME_MASK = 0xFFFF_FFFFL;
-    private static final long UNKNOWN = -1;
 
     private final ServiceWork service;
     // The busy time in milliseconds as the bits of a float, and below it the low 32 bits of the time in milliseconds.
-    private final AtomicLong state = new AtomicLong(UNKNOWN);
+    private final AtomicLong state;
     private volatile double slowness = 1;
 
     /**
      * Creates the state of a backend server that has reported nothing.
      *
      * @param service what is known of all backend servers of its service
+     * @param now monotonic time in nanoseconds
      */
-    public BusyTime(ServiceWork service) {
+    public BusyTime(ServiceWork service, long now) {
         this.service = service;
+        state = new AtomicLong(pack(0, now));
     }
 
     /**
@@ -95,9 +97,6 @@
 
     private double millis(long packed, long now) {
         double usual = service.usualBusyMillis();
-        if (packed == UNKNOWN) {
-            return usual;
-        }
         double latest = Float.intBitsToFloat((int) (packed >>> Integer.SIZE));
         double age = Math.max(0, timeOf(now) - (int) packed);
         return usual + (latest - usual) * Math.exp(-age / (latest + Math.max(1, service.meanMillis())));
