Refuse before the start only for lack of slots further down

Cause: each call that did not run counted as one that found no room, and the probability that one of several calls fails was refused, more than the shortage.

Change: calls count as far as their end and the owners' word on their slots agree, and requests are refused in that proportion. More urgent requests that the service further down refuses are told apart from the calls themselves. The test of a fleet now fills the only slot of the service further down and waits until the backend server is announced under the newest routes; without that wait its queue had the default length, and it failed twice.

Measured: tests of admission, ChainOfCallsTest, RequestAdmissionTest.

--- a/core/src/main/java/io/fuchsiastand/admission/AdmissionControl.java
+++ b/core/src/main/java/io/fuchsiastand/admission/AdmissionControl.java
@@ -10,9 +10,9 @@
 import io.fuchsiastand.time.Clock;
 
 /**
- * Adaptive throttling at the head of a chain of calls: refuses a request before it starts with the probability that the calls
- * which it is expected to make find no room. The less urgent requests are refused first, and those of a team in proportion to
- * its share of the recent requests. A request also gives way to more urgent ones that a service which it calls refuses.
+ * Proportional load shedding at the head of a chain of calls: refuses the part of the requests before they start for whose calls
+ * there is no room further down. The less urgent requests are refused first, and those of a team in proportion to its share of
+ * the recent requests. A request also gives way to more urgent ones that a service which it calls refuses.
  *
  * <p>At most {@link #MAX_REFUSED_SHARE} of the requests of a team are refused. Without news of the services further down, all
  * requests are admitted within seconds.
@@ -42,15 +42,15 @@
      * The reason to refuse a request.
      *
      * @param service the service further down that lacks the most room
-     * @param shortage the probability that the calls of the request find no room or take that of more urgent requests, 0 to 1
+     * @param shortage the share of such calls, or of more urgent requests, that find no room there, 0 to 1
      */
     public record Refusal(String service, double shortage) {}
 
     /** What the calls of a request meet at a service. */
-    private record Shortage(String service, double calls, double moreUrgent) {
+    private record Shortage(String service, double ofCalls, double ofMoreUrgent) {
 
         private double worst() {
-            return Math.max(calls, moreUrgent);
+            return Math.max(ofCalls, ofMoreUrgent);
         }
     }
 
@@ -84,16 +84,14 @@
         }
         long now = clock.nanoTime();
         record(team, priority, now);
-        double allFindRoom = 1;
         Shortage worst = new Shortage("", 0, 0);
         for (Map.Entry<String, Double> c : calls.entrySet()) {
             Shortage s = shortage(c.getKey(), c.getValue(), priority);
-            allFindRoom *= 1 - s.calls();
             if (s.worst() > worst.worst()) {
                 worst = s;
             }
         }
-        double toRefuse = Math.max(shareOfPriority(1 - allFindRoom, priority, now), worst.moreUrgent());
+        double toRefuse = Math.max(shareOfPriority(worst.ofCalls(), priority, now), worst.ofMoreUrgent());
         double probability = Math.min(MAX_REFUSED_SHARE, toRefuse * demandOfTeam(team, now));
         return random.getAsDouble() < probability
                 ? Optional.of(new Refusal(worst.service(), worst.worst()))
@@ -101,10 +99,16 @@
     }
 
     private Shortage shortage(String service, double calls, int priority) {
-        double refused = room.refusedCalls(service);
-        double oneFindsNoRoom = refused < MIN_SHORTAGE ? 0 : 1 - Math.pow(1 - refused, calls);
-        double above = room.refusedAbove(service, priority);
-        return new Shortage(service, oneFindsNoRoom, above < MIN_SHORTAGE ? 0 : above * Math.min(1, calls));
+        double certainCalls = Math.min(1, calls);
+        // Calls that fail although owners have room for them are left to retries, as fewer requests would not help
+        // them.
+        double ofCalls = Math.min(room.refusedCalls(service), room.refusedByOwners(service, RoomReport.CALLS, 0));
+        double ofMoreUrgent = room.refusedByOwners(service, 0, priority);
+        return new Shortage(service, ifLarge(ofCalls) * certainCalls, ifLarge(ofMoreUrgent) * certainCalls);
+    }
+
+    private static double ifLarge(double shortage) {
+        return shortage < MIN_SHORTAGE ? 0 : shortage;
     }
 
     private void record(String team, int priority, long now) {
--- a/core/src/main/java/io/fuchsiastand/admission/RoomEstimates.java
+++ b/core/src/main/java/io/fuchsiastand/admission/RoomEstimates.java
@@ -93,13 +93,14 @@
     }
 
     /**
-     * Returns the share of the calls more urgent than a given priority that owners of the service refused lately.
+     * Returns the share of calls that owners of the service refused lately.
      *
      * @param service the name of the service
-     * @param priority the priority
+     * @param from the most urgent priority of these calls
+     * @param below the priority after their least urgent one
      * @return 0 to 1
      */
-    public synchronized double refusedAbove(String service, int priority) {
+    public synchronized double refusedByOwners(String service, int from, int below) {
         ServiceRoom r = services.get(service);
         if (r == null) {
             return 0;
@@ -109,7 +110,7 @@
         for (TimedReport s : r.servers.values()) {
             long age = now - s.receivedAt();
             if (age <= MAX_REPORT_AGE_NANOS) {
-                shares.add(s.report().refusedAbove(priority) * Math.exp(-age / REPORT_DECAY_NANOS));
+                shares.add(s.report().refusedIn(from, below) * Math.exp(-age / REPORT_DECAY_NANOS));
             }
         }
         shares.sort(null);
--- a/core/src/main/java/io/fuchsiastand/admission/RoomMeter.java
+++ b/core/src/main/java/io/fuchsiastand/admission/RoomMeter.java
@@ -43,7 +43,8 @@
         long now = clock.nanoTime();
         int p = Math.min(priority, RoomReport.MAX_PRIORITIES - 2);
         Calls c = priorities.computeIfAbsent(
-                Math.max(-1, p), k -> new Calls(new DecayingSum(DECAY_NANOS), new DecayingSum(DECAY_NANOS)));
+                Math.max(RoomReport.CALLS, p),
+                k -> new Calls(new DecayingSum(DECAY_NANOS), new DecayingSum(DECAY_NANOS)));
         c.all().add(1, now);
         if (!foundRoom) {
             c.refused().add(1, now);
--- a/core/src/main/java/io/fuchsiastand/admission/RoomReport.java
+++ b/core/src/main/java/io/fuchsiastand/admission/RoomReport.java
@@ -15,6 +15,9 @@
     /** The report of a backend server that had room for all calls. */
     public static final RoomReport FREE = new RoomReport(Map.of());
 
+    /** The priority of the calls of running requests, which are more urgent than all requests of teams. */
+    public static final int CALLS = -1;
+
     static final int MAX_PRIORITIES = 8;
 
     /**
@@ -58,15 +61,16 @@
     }
 
     /**
-     * Returns the share of the calls more urgent than a given priority that were refused.
+     * Returns the largest share for a range of priorities.
      *
-     * @param priority the priority; 0 is the most urgent of teams, calls of running requests are more urgent
+     * @param from the most urgent priority of the range; {@link #CALLS} for the calls of running requests
+     * @param below the priority after the least urgent one of the range
      * @return 0 to 1
      */
-    public double refusedAbove(int priority) {
+    public double refusedIn(int from, int below) {
         double out = 0;
         for (Map.Entry<Integer, Double> e : refused.entrySet()) {
-            if (e.getKey() < priority) {
+            if (e.getKey() >= from && e.getKey() < below) {
                 out = Math.max(out, e.getValue());
             }
         }
--- a/core/src/test/java/io/fuchsiastand/admission/BurstAtTheHeadOfAChainTest.java
+++ b/core/src/test/java/io/fuchsiastand/admission/BurstAtTheHeadOfAChainTest.java
@@ -22,6 +22,7 @@
     private final SplittableRandom random = new SplittableRandom(7);
     private final CallGraph graph = new CallGraph(clock);
     private final RoomEstimates room = new RoomEstimates(clock);
+    private final RoomMeter owner = new RoomMeter(clock);
     private final AdmissionControl control = new AdmissionControl(graph, room, clock, random::nextDouble);
     private final Map<String, Tally> tallies = new TreeMap<>();
     private boolean enabled = true;
@@ -43,7 +44,7 @@
         for (long t = 0; t < time.toMillis(); t += STEP.toMillis()) {
             clock.advance(STEP);
             roomPerStep = secondHasRoom;
-            requestsPerStep.forEach((team, n) -> {
+            new TreeMap<>(requestsPerStep).forEach((team, n) -> {
                 for (int i = 0; i < n; i++) {
                     ask(team, priorities.get(team));
                 }
@@ -65,6 +66,8 @@
         for (int i = 0; i < CALLS_PER_REQUEST; i++) {
             graph.recordCall(SECOND, Long.MAX_VALUE / 2);
             boolean foundRoom = roomPerStep-- > 0;
+            owner.record(-1, foundRoom);
+            room.hear(SECOND, "s1", owner.report());
             room.recordCall(SECOND, foundRoom);
             wasted |= !foundRoom;
         }
@@ -132,6 +135,15 @@
         assertThat(refusedOf(1000, 0)).isEqualTo(0);
     }
 
+    @Test
+    void leavesCallsToRetriesThatFailAlthoughOwnersHaveRoom() {
+        playTeam(Duration.ofSeconds(5), 5);
+        for (int i = 0; i < 100; i++) {
+            room.recordCall(SECOND, false);
+        }
+        assertThat(refusedOf(1000, 2)).isEqualTo(0);
+    }
+
     @Test
     void admitsAllWhenOwnersAreSilentForSeconds() {
         playTeam(Duration.ofSeconds(5), 5);
--- a/core/src/test/java/io/fuchsiastand/admission/RoomReportTest.java
+++ b/core/src/test/java/io/fuchsiastand/admission/RoomReportTest.java
@@ -22,8 +22,8 @@
             meter.record(1, i % 2 == 0);
         }
         RoomReport r = RoomReport.parse(meter.report().toText());
-        assertThat(r.refusedAbove(1)).isEqualTo(0);
-        assertThat(r.refusedAbove(2)).isWithin(0.02).of(10 / 62.0);
+        assertThat(r.refusedIn(RoomReport.CALLS, 1)).isEqualTo(0);
+        assertThat(r.refusedIn(RoomReport.CALLS, 2)).isWithin(0.02).of(10 / 62.0);
     }
 
     @Test
@@ -40,13 +40,13 @@
         RoomEstimates room = new RoomEstimates(clock);
         room.hear("s", "full", RoomReport.parse("0=1.00"));
         room.hear("s", "free", RoomReport.FREE);
-        assertThat(room.refusedAbove("s", 2)).isEqualTo(0);
+        assertThat(room.refusedByOwners("s", 0, 2)).isEqualTo(0);
         room.hear("s", "full, too", RoomReport.parse("0=1.00"));
-        assertThat(room.refusedAbove("s", 2)).isEqualTo(1);
+        assertThat(room.refusedByOwners("s", 0, 2)).isEqualTo(1);
     }
 
     @Property
     boolean takesAnyTextForAReport(@ForAll String text) {
-        return RoomReport.parse(text).refusedAbove(Integer.MAX_VALUE) <= 1;
+        return RoomReport.parse(text).refusedIn(Integer.MIN_VALUE, Integer.MAX_VALUE) <= 1;
     }
 }
--- a/daemon/src/main/java/io/fuchsiastand/daemon/admission/RequestAdmission.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/admission/RequestAdmission.java
@@ -30,8 +30,6 @@
     private static final long MIN_RETRY_AFTER_MILLIS = 500;
     private static final long RETRY_AFTER_SPREAD_MILLIS = 1_000;
     private static final long NANOS_PER_MILLI = 1_000_000;
-    // Calls without a team come from backend servers that run other requests.
-    private static final int PRIORITY_OF_CALLS = -1;
 
     private final boolean enabled;
     private final Clock clock;
@@ -110,7 +108,7 @@
         if (!enabled) {
             return wait;
         }
-        int priority = call.team().isEmpty() ? PRIORITY_OF_CALLS : call.priority();
+        int priority = call.team().isEmpty() ? RoomReport.CALLS : call.priority();
         return wait.beforeOnSuccess(x -> meter.record(priority, true))
                 .beforeOnError(e -> meter.record(priority, false));
     }
--- a/daemon/src/test/java/io/fuchsiastand/daemon/ChainOfCallsTest.java
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/ChainOfCallsTest.java
@@ -22,6 +22,8 @@
             [[services.menu.routes]]
             path = "/menu"
             [services.stock]
+            queue = 0
+            timeout = "30s"
             [[services.stock.routes]]
             path = "/stock"
             open = true
@@ -35,11 +37,18 @@
     void requestsAreRefusedBeforeTheyRunWhenTheirCallsFindNoRoom() throws Exception {
         try (Fleet fleet = new Fleet(2, "[scheduling]\nadmission = true\n")) {
             fleet.publish(TEAMS, PLANS);
+            Fleet.await("both daemons know the routes", () -> fleet.daemons.stream()
+                    .allMatch(d -> d.status().configurationVersion() == 2));
             BackendServerStandin menu = fleet.startBackend(0, "menu-1", "menu", 2 * REQUESTS);
+            BackendServerStandin stock = fleet.startBackend(1, "stock-1", "stock", 1);
             Fleet.await(
-                    "both daemons know the routes",
-                    () -> get(fleet, 0, "/stock").join().statusCode() == 503
+                    "both daemons serve",
+                    () -> get(fleet, 0, "/stock").join().statusCode() == 200
                             && get(fleet, 1, "/menu").join().statusCode() == 200);
+            stock.setFaults(BackendFaults.slow(20_000));
+            long stockCalls = stock.callCount();
+            CompletableFuture<HttpResponse<String>> occupying = get(fleet, 0, "/stock");
+            Fleet.await("the only slot is taken", () -> stock.callCount() > stockCalls);
             menu.setFaults(BackendFaults.slow(500));
             List<CompletableFuture<HttpResponse<String>>> running = new ArrayList<>();
             long before = menu.callCount();
@@ -56,11 +65,13 @@
             long ran = menu.callCount();
             List<HttpResponse<String>> refused = new ArrayList<>();
             for (int i = 0; i < 2 * REQUESTS; i++) {
+                get(fleet, 0, "/stock").join();
                 HttpResponse<String> r = get(fleet, 1, "/menu").join();
                 if (r.statusCode() != 200) {
                     refused.add(r);
                 }
             }
+            occupying.cancel(true);
             assertThat(refused).isNotEmpty();
             assertThat(menu.callCount()).isEqualTo(ran + 2 * REQUESTS - refused.size());
             for (HttpResponse<String> r : refused) {
--- a/daemon/src/test/java/io/fuchsiastand/daemon/admission/RequestAdmissionTest.java
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/admission/RequestAdmissionTest.java
@@ -74,6 +74,8 @@
                     .followOutgoing(out, "second", Single.failed(noSlot))
                     .onErrorReturn(e -> factory.ok()));
             admission.follow(call("team", false), running).toFuture().get();
+            HttpHeaders answer = factory.ok().headers().set(HeaderNames.REFUSED_SHARES, "-1=0.90");
+            admission.hear("second", "server", answer);
         }
     }
 
