Let a last resort wait for its target, not for its deadline

Cause: a last resort waited until it could not finish by its deadline, and took the slot of calls that could be on time.

Change: it waits as long as it can still meet its target, or for a quarter of its time if that is longer; otherwise it is refused at once. lastResortThatWouldMissItsTargetIsRefusedAtOnce failed before.

--- a/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/CallAttempts.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/CallAttempts.java
@@ -104,11 +104,13 @@
         return attempts > ATTEMPT_LIMIT || queuesAsked >= MAX_QUEUES_ASKED;
     }
 
-    // Whether the request can still wait at the candidate with the shortest queue.
+    // Whether the candidate with the shortest queue lets the request wait if it is the last resort: until the target,
+    // or
+    // for a quarter of the remaining time.
     private boolean canWait() {
-        return shortestQueue != null
-                && !lastResort
-                && clock.nanoTime() + shortestQueueMillis * NANOS_PER_MILLI - routed.deadline() < 0;
+        long now = clock.nanoTime();
+        long maxWaitNanos = Math.max(routed.target() - now, (routed.deadline() - now) / 4);
+        return shortestQueue != null && !lastResort && shortestQueueMillis * NANOS_PER_MILLI < maxWaitNanos;
     }
 
     // Records a refusal by the daemon of a candidate's host.
--- a/daemon/src/test/java/io/fuchsiastand/daemon/owner/SlotAdmissionTest.java
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/owner/SlotAdmissionTest.java
@@ -71,6 +71,19 @@
         assertThat(refusal.isNotRun()).isTrue();
     }
 
+    // Load pattern: burst over too little room. The slot would come too late for the target, and make the next call
+    // late.
+    @Test
+    void lastResortThatWouldMissItsTargetIsRefusedAtOnce() throws Exception {
+        occupySlot();
+        assertThat(acquire(Duration.ofMillis(3900), Duration.ofMillis(2100), true)
+                        .isDone())
+                .isFalse();
+        assertThat(refusalOf(acquire(Duration.ofMillis(3900), Duration.ofMillis(1900), true))
+                        .code())
+                .isEqualTo(ErrorCode.QUEUE_FULL);
+    }
+
     // Teaches the queue the time of a call, and starts another one.
     private FairQueue.Permit occupySlot() throws Exception {
         FairQueue.Permit first = acquire(Duration.ofSeconds(9), false).get();
@@ -79,14 +92,21 @@
         return acquire(Duration.ofSeconds(9), false).get();
     }
 
-    private static RefusalException refusalOf(Future<FairQueue.Permit> call) {
+    private static RefusalException refusalOf(Future<?> call) {
         return (RefusalException)
                 assertThrows(ExecutionException.class, call::get).getCause();
     }
 
     private Future<FairQueue.Permit> acquire(Duration timeout, boolean lastResort) {
-        long deadline = clock.nanoTime() + timeout.toNanos();
-        BackendCall call = new BackendCall(
+        return acquire(timeout, timeout, lastResort);
+    }
+
+    private Future<FairQueue.Permit> acquire(Duration timeout, Duration target, boolean lastResort) {
+        return slots.acquire(backend, call(timeout, target, lastResort)).toFuture();
+    }
+
+    private BackendCall call(Duration timeout, Duration target, boolean lastResort) {
+        return new BackendCall(
                 "1",
                 "menu",
                 "zermatt",
@@ -97,8 +117,8 @@
                 false,
                 OptionalDouble.empty(),
                 2,
-                deadline,
-                deadline,
+                clock.nanoTime() + timeout.toNanos(),
+                clock.nanoTime() + target.toNanos(),
                 new WorkKind("menu", "", 0),
                 Baseline.UNKNOWN,
                 new DefaultStreamingHttpRequestResponseFactory(
@@ -106,6 +126,5 @@
                                 DefaultHttpHeadersFactory.INSTANCE,
                                 HttpProtocolVersion.HTTP_1_1)
                         .post("/menu"));
-        return slots.acquire(backend, call).toFuture();
     }
 }
