--- a/daemon/src/test/java/io/fuchsiastand/daemon/owner/SlotAdmissionTest.java
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/owner/SlotAdmissionTest.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Random;
 import java.util.concurrent.ExecutionException;
@@ -15,6 +16,7 @@
 import io.fuchsiastand.daemon.metrics.RequestLog;
 import io.fuchsiastand.error.ErrorCode;
 import io.fuchsiastand.health.Baseline;
+import io.fuchsiastand.health.FaultCircuitBreaker;
 import io.fuchsiastand.queue.FairQueue;
 import io.fuchsiastand.queue.QueueOrder;
 import io.fuchsiastand.time.ManualClock;
@@ -84,6 +86,24 @@
                 .isEqualTo(ErrorCode.QUEUE_FULL);
     }
 
+    @Test
+    void nonIdempotentCallThatTheCircuitBreakerRejectsDoesNotWaitForASlot() throws Exception {
+        occupySlot();
+        backend.circuitBreaker().recordFailure(FaultCircuitBreaker.FailureTiming.QUICK, clock.nanoTime());
+        OwnerService owner = new OwnerService(
+                id -> Optional.of(backend),
+                b -> {},
+                clock,
+                "h1",
+                HeaderConventions.DEFAULT,
+                new RequestLog(clock),
+                metrics,
+                Executors.global());
+        Duration timeout = Duration.ofSeconds(3);
+        assertThat(refusalOf(owner.run(call(timeout, timeout, true)).toFuture()).code())
+                .isEqualTo(ErrorCode.BACKEND_SUSPECT);
+    }
+
     // Teaches the queue the time of a call, and starts another one.
     private FairQueue.Permit occupySlot() throws Exception {
         FairQueue.Permit first = acquire(Duration.ofSeconds(9), false).get();
