Keep the capacity of the queue for last resorts

Cause: the load lasted longer than callers wait. A longer queue then serves no more calls; more of them wait in vain, or are served late.

--- a/core/src/main/java/io/fuchsiastand/queue/FairQueue.java
+++ b/core/src/main/java/io/fuchsiastand/queue/FairQueue.java
@@ -28,7 +28,6 @@
     /** The shortest wait that is reported to a refused caller, in milliseconds. */
     public static final long MIN_WAIT_MILLIS = 50;
 
-    private static final int LAST_RESORT_CALLS_PER_SLOT = 4;
     // Weight of the newest call in the moving average of the time that calls hold a slot.
     private static final double SMOOTHING = 0.1;
 
@@ -242,7 +241,7 @@
     }
 
     private void enqueue(SubmittedCall c, QueueRefusal ifFull, List<Callback> callbacks) {
-        if (!isFullFor(c.submission())) {
+        if (waiting.size() < capacity) {
             waiting.add(c);
             return;
         }
@@ -255,17 +254,6 @@
         }
     }
 
-    // The expected wait already limits calls that are ordered by due date. Those that can go elsewhere are still spread
-    // over the backend servers by the capacity.
-    private boolean isFullFor(Submission s) {
-        if (order == QueueOrder.ARRIVAL) {
-            return waiting.size() >= capacity;
-        }
-        return s.lastResort()
-                ? waiting.size() >= Math.max(capacity, slots * LAST_RESORT_CALLS_PER_SLOT)
-                : waiting.movable() >= capacity;
-    }
-
     private QueueRefusal refusal(SubmittedCall c, ErrorCode code) {
         return new QueueRefusal(code, (long) meanWaitNanos(waiting.size() + 1), 0, c.expectedNanos());
     }
--- a/core/src/main/java/io/fuchsiastand/queue/SubQueues.java
+++ b/core/src/main/java/io/fuchsiastand/queue/SubQueues.java
@@ -139,55 +139,36 @@
         return dueDates.takeFirst(equals, at);
     }
 
-    /**
-     * Counts the waiting calls that can go elsewhere.
-     *
-     * @return the number of calls that are not the last resort
-     */
-    int movable() {
-        int out = 0;
-        for (SubQueue q : queues.values()) {
-            out += movableOf(q).size();
-        }
-        return out;
-    }
-
-    private static List<SubmittedCall> movableOf(SubQueue q) {
-        return q.calls.stream().filter(c -> !c.submission().lastResort()).toList();
-    }
-
     /**
      * Makes room for a call when the queue is full. The sub-queue of the least urgent priority that has the most waiting
      * calls is considered. If its priority is less urgent than that of the new call, or is the same and it has at least two
      * more calls than the sub-queue of the new call, it loses the call that would be served last.
      *
-     * @param c the new call; a call that can go elsewhere takes only the place of another such call
+     * @param c the new call
      * @param now monotonic time in nanoseconds
      * @return the removed call, or null if the new call gets no room
      */
     SubmittedCall makeRoomFor(SubmittedCall c, long now) {
-        boolean all = order == QueueOrder.ARRIVAL || c.submission().lastResort();
-        Key key = Key.of(c.submission());
-        int own = 0;
-        Key from = null;
-        List<SubmittedCall> calls = List.of();
+        SubQueue from = null;
         for (SubQueue q : queues.values()) {
-            List<SubmittedCall> mayLose = all ? q.calls : movableOf(q);
-            own = q.key.equals(key) ? mayLose.size() : own;
             boolean losesFirst = from == null
-                    || q.key.priority() > from.priority()
-                    || (q.key.priority() == from.priority() && mayLose.size() > calls.size());
-            if (!mayLose.isEmpty() && losesFirst) {
-                from = q.key;
-                calls = mayLose;
+                    || q.key.priority() > from.key.priority()
+                    || (q.key.priority() == from.key.priority() && q.calls.size() > from.calls.size());
+            if (!q.calls.isEmpty() && losesFirst) {
+                from = q;
             }
         }
-        boolean isLessUrgent = from != null && from.priority() > key.priority();
-        boolean isLonger = from != null && from.priority() == key.priority() && calls.size() > own + 1;
+        Key key = Key.of(c.submission());
+        SubQueue own = queues.get(key);
+        boolean isLessUrgent = from != null && from.key.priority() > key.priority();
+        boolean isLonger = from != null
+                && from.key.priority() == key.priority()
+                && from.calls.size() > (own == null ? 0 : own.calls.size()) + 1;
         if (!isLessUrgent && !isLonger) {
             return null;
         }
-        SubmittedCall out = order == QueueOrder.ARRIVAL ? calls.get(calls.size() - 1) : dueDates.last(calls, now);
+        SubmittedCall out =
+                order == QueueOrder.ARRIVAL ? from.calls.get(from.calls.size() - 1) : dueDates.last(from.calls, now);
         remove(out);
         return out;
     }
--- a/core/src/main/java/io/fuchsiastand/queue/Submission.java
+++ b/core/src/main/java/io/fuchsiastand/queue/Submission.java
@@ -9,16 +9,8 @@
  * @param target time until which a response is fully useful
  * @param expectedNanos the time for which the call is expected to hold a slot, or 0 if it is unknown
  * @param maxWaitNanos the longest time that the call waits for a slot; used only by {@link QueueOrder#DUE_DATE}
- * @param lastResort whether no other backend server is left for the call
  */
-public record Submission(
-        String team,
-        int priority,
-        long deadline,
-        long target,
-        long expectedNanos,
-        long maxWaitNanos,
-        boolean lastResort) {
+public record Submission(String team, int priority, long deadline, long target, long expectedNanos, long maxWaitNanos) {
 
     /**
      * Starts a submission without a target, with priority 0, an unknown expected time and any wait.
@@ -39,7 +31,6 @@
         private long target;
         private long expectedNanos;
         private long maxWaitNanos = Long.MAX_VALUE;
-        private boolean lastResort;
 
         private Builder(String team, long deadline) {
             this.team = team;
@@ -91,24 +82,13 @@
             return this;
         }
 
-        /**
-         * Sets whether no other backend server is left for the call.
-         *
-         * @param value true if the call can wait only here
-         * @return this builder
-         */
-        public Builder lastResort(boolean value) {
-            lastResort = value;
-            return this;
-        }
-
         /**
          * Creates the submission.
          *
          * @return the submission
          */
         public Submission build() {
-            return new Submission(team, priority, deadline, target, expectedNanos, maxWaitNanos, lastResort);
+            return new Submission(team, priority, deadline, target, expectedNanos, maxWaitNanos);
         }
     }
 }
--- a/core/src/test/java/io/fuchsiastand/queue/DueDateQueueTest.java
+++ b/core/src/test/java/io/fuchsiastand/queue/DueDateQueueTest.java
@@ -53,37 +53,6 @@
         assertThat(refused.get("can go elsewhere").code()).isEqualTo(ErrorCode.QUEUE_FULL);
     }
 
-    // Load pattern: burst over too little room. Short calls fill a queue long before they make anybody late.
-    @Test
-    void callThatHasNoOtherBackendServerLeftWaitsBehindAFullQueueUpToFourCallsASlot() {
-        FairQueue full = new FairQueue(1, 1, clock, QueueOrder.DUE_DATE);
-        for (int i = 0; i < 3; i++) {
-            submit(full, "elsewhere " + i, call("a", 9000).expectedNanos(nanos(100)));
-        }
-        for (int i = 0; i < 4; i++) {
-            submit(full, "last resort " + i, call("a", 9000).lastResort(true).expectedNanos(nanos(100)));
-        }
-        assertThat(refused.keySet()).containsExactly("elsewhere 2", "last resort 3");
-    }
-
-    // Load pattern: burst over too little room. A call that can go nowhere else is not refused for one that can.
-    @Test
-    void callsThatCanGoElsewhereDoNotTakeThePlaceOfALastResort() {
-        FairQueue full = new FairQueue(1, 1, clock, QueueOrder.DUE_DATE);
-        submit(full, "running", call("a", 9000).expectedNanos(nanos(100)));
-        submit(
-                full,
-                "last resort 0",
-                call("a", 9000).priority(1).lastResort(true).expectedNanos(nanos(100)));
-        submit(
-                full,
-                "last resort 1",
-                call("a", 9000).priority(1).lastResort(true).expectedNanos(nanos(100)));
-        submit(full, "elsewhere", call("b", 9000).priority(1).expectedNanos(nanos(100)));
-        submit(full, "urgent", call("c", 9000).expectedNanos(nanos(100)));
-        assertThat(refused.keySet()).containsExactly("elsewhere");
-    }
-
     // Load pattern: burst over too little room. A call that is served late must not make the next one late.
     @Test
     void callThatMissesItsTargetGoesBehindThoseThatCanMeetIt() {
@@ -179,11 +148,7 @@
     }
 
     private void submit(String name, Submission.Builder call) {
-        submit(queue, name, call);
-    }
-
-    private void submit(FairQueue to, String name, Submission.Builder call) {
-        to.submit(
+        queue.submit(
                 call.build(),
                 permit -> {
                     started.add(name);
--- a/daemon/src/main/java/io/fuchsiastand/daemon/owner/SlotAdmission.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/owner/SlotAdmission.java
@@ -79,7 +79,6 @@
                 .target(call.target())
                 .expectedNanos(expectedNanos(backend))
                 .maxWaitNanos(maxWaitNanos(backend, call, start))
-                .lastResort(call.lastResort())
                 .build();
         s.setRemoval(backend.queue()
                 .submit(
