--- a/daemon/src/test/java/io/fuchsiastand/daemon/dispatch/CallAttemptsTest.java
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/dispatch/CallAttemptsTest.java
@@ -71,6 +71,7 @@
     }
 
     private static Candidate candidate(String host) {
-        return new Candidate(host, new BackendServer("1", "menu", 7, BackendState.SERVING, 1, 0, 1), new ServiceWork());
+        return new Candidate(
+                host, new BackendServer("1", "menu", 7, BackendState.SERVING, 1, 0, 1), new ServiceWork(), 0);
     }
 }
--- a/daemon/src/test/java/io/fuchsiastand/daemon/owner/SlotAdmissionTest.java
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/owner/SlotAdmissionTest.java
@@ -104,7 +104,7 @@
                 "h1",
                 HeaderConventions.DEFAULT,
                 new RequestLog(clock),
-                metrics,
+                slots,
                 Executors.global());
         Duration timeout = Duration.ofSeconds(3);
         assertThat(refusalOf(owner.run(call(timeout, timeout, true)).toFuture()).code())
