Count the bytes of control messages by kind and data centre

Change: fuchsiastand_peer_bytes counts the bytes of the requests and replies of the calls that a daemon starts, by method and by whether the peer is in the same data centre. The bytes of forwarded calls of callers are not counted yet.

--- a/daemon/src/main/java/io/fuchsiastand/daemon/Daemon.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/Daemon.java
@@ -115,7 +115,7 @@
         HeaderConventions conventions = deployment.headerConventions();
         board = new Blackboard(settings, settings.ports(), clock);
         transport = new Transport(settings.tls());
-        peers = new Peers(transport, clock);
+        peers = new Peers(transport, clock, this::recordPeerBytes);
         configuration = new ConfigurationController(board);
         gossip = new GossipController(board, peers, configuration::missingChunks);
         backends = new BackendController(board, transport);
@@ -319,6 +319,11 @@
         return timer.scheduleWithFixedDelay(guarded, 0, period.toMillis(), TimeUnit.MILLISECONDS);
     }
 
+    private void recordPeerBytes(String kind, String dataCentre, long bytes) {
+        String place = dataCentre.equals(board.settings().dataCentre()) ? "same" : "other";
+        metrics.recordPeerBytes(kind, dataCentre.isEmpty() ? "unknown" : place, bytes);
+    }
+
     private static Thread createThread(Runnable work, String name) {
         Thread t = new Thread(work, name);
         t.setDaemon(true);
--- a/daemon/src/main/java/io/fuchsiastand/daemon/http/Peers.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/http/Peers.java
@@ -10,8 +10,15 @@
 import io.fuchsiastand.membership.Member;
 import io.fuchsiastand.protocol.PeerGrpc;
 import io.fuchsiastand.time.Clock;
+import io.grpc.CallOptions;
+import io.grpc.Channel;
+import io.grpc.ClientCall;
+import io.grpc.ClientInterceptor;
+import io.grpc.ClientStreamTracer;
 import io.grpc.ConnectivityState;
 import io.grpc.ManagedChannel;
+import io.grpc.Metadata;
+import io.grpc.MethodDescriptor;
 import io.grpc.stub.StreamObserver;
 import io.servicetalk.http.api.StreamingHttpClient;
 
@@ -23,6 +30,7 @@
 
     private final Transport transport;
     private final Clock clock;
+    private final ByteListener byteListener;
     private final Map<String, ManagedChannel> channels = new ConcurrentHashMap<>();
     private final Map<String, Long> backoffResetNanos = new ConcurrentHashMap<>();
     private final Map<String, StreamingHttpClient> clients = new ConcurrentHashMap<>();
@@ -34,8 +42,34 @@
      * @param clock the clock
      */
     public Peers(Transport transport, Clock clock) {
+        this(transport, clock, (kind, dataCentre, bytes) -> {});
+    }
+
+    /**
+     * Creates a set of connections, which is empty at first.
+     *
+     * @param transport creates channels and clients
+     * @param clock the clock
+     * @param byteListener receives the bytes of control messages
+     */
+    public Peers(Transport transport, Clock clock, ByteListener byteListener) {
         this.transport = transport;
         this.clock = clock;
+        this.byteListener = byteListener;
+    }
+
+    /** Receives the number of bytes of a control message that this daemon sends as a request or receives as a reply. */
+    @FunctionalInterface
+    public interface ByteListener {
+
+        /**
+         * Called for each message.
+         *
+         * @param kind the name of the method
+         * @param dataCentre the data centre of the peer, or an empty string if it is not known yet
+         * @param bytes the length of the message, without frames and header fields
+         */
+        void onBytes(String kind, String dataCentre, long bytes);
     }
 
     /**
@@ -50,11 +84,22 @@
      */
     public <T> CompletableFuture<T> call(
             String address, int port, Duration timeout, BiConsumer<PeerGrpc.PeerStub, StreamObserver<T>> call) {
+        return call(address, port, "", timeout, call);
+    }
+
+    private <T> CompletableFuture<T> call(
+            String address,
+            int port,
+            String dataCentre,
+            Duration timeout,
+            BiConsumer<PeerGrpc.PeerStub, StreamObserver<T>> call) {
         CompletableFuture<T> out = new CompletableFuture<>();
         String key = address + ':' + port;
         ManagedChannel channel = channels.computeIfAbsent(key, k -> transport.peerChannel(address, port));
         limitBackoff(key, channel);
-        PeerGrpc.PeerStub stub = PeerGrpc.newStub(channel).withDeadlineAfter(timeout.toMillis(), TimeUnit.MILLISECONDS);
+        PeerGrpc.PeerStub stub = PeerGrpc.newStub(channel)
+                .withInterceptors(new ByteCounter(dataCentre))
+                .withDeadlineAfter(timeout.toMillis(), TimeUnit.MILLISECONDS);
         call.accept(stub, new FutureObserver<>(out));
         return out;
     }
@@ -70,7 +115,7 @@
      */
     public <T> CompletableFuture<T> call(
             Member member, Duration timeout, BiConsumer<PeerGrpc.PeerStub, StreamObserver<T>> call) {
-        return call(member.address(), member.peerPort(), timeout, call);
+        return call(member.address(), member.peerPort(), member.dataCentre(), timeout, call);
     }
 
     /**
@@ -121,6 +166,37 @@
         clients.values().forEach(c -> c.closeAsync().subscribe());
     }
 
+    /** Counts the bytes of the messages of a call. */
+    private final class ByteCounter implements ClientInterceptor {
+
+        private final String dataCentre;
+
+        ByteCounter(String dataCentre) {
+            this.dataCentre = dataCentre;
+        }
+
+        @Override
+        public <Q, R> ClientCall<Q, R> interceptCall(MethodDescriptor<Q, R> method, CallOptions options, Channel next) {
+            String kind = method.getBareMethodName();
+            return next.newCall(method, options.withStreamTracerFactory(new ClientStreamTracer.Factory() {
+                @Override
+                public ClientStreamTracer newClientStreamTracer(ClientStreamTracer.StreamInfo info, Metadata headers) {
+                    return new ClientStreamTracer() {
+                        @Override
+                        public void outboundWireSize(long bytes) {
+                            byteListener.onBytes(kind, dataCentre, bytes);
+                        }
+
+                        @Override
+                        public void inboundWireSize(long bytes) {
+                            byteListener.onBytes(kind, dataCentre, bytes);
+                        }
+                    };
+                }
+            }));
+        }
+    }
+
     /** Completes a future with the single reply of a call. */
     private record FutureObserver<T>(CompletableFuture<T> out) implements StreamObserver<T> {
 
--- a/daemon/src/main/java/io/fuchsiastand/daemon/metrics/Metrics.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/metrics/Metrics.java
@@ -37,6 +37,7 @@
     private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     private final Map<CallTags, Timer> timers = new ConcurrentHashMap<>();
     private final Map<RefusalTags, Counter> refusals = new ConcurrentHashMap<>();
+    private final Map<PeerTags, Counter> peerBytes = new ConcurrentHashMap<>();
     private final Counter retries = registry.counter("fuchsiastand_retries");
     private final Counter retriesOverBudget = registry.counter("fuchsiastand_retries_over_budget");
     private final Set<String> teams = ConcurrentHashMap.newKeySet();
@@ -45,6 +46,8 @@
 
     private record RefusalTags(String team, String code) {}
 
+    private record PeerTags(String kind, String dataCentre) {}
+
     /**
      * Records the latency of a call that ended with a response from a backend server, or with a response in which another
      * daemon refused the call or reported its failure.
@@ -82,6 +85,22 @@
         retriesOverBudget.increment();
     }
 
+    /**
+     * Records the bytes of a control message of a call that this daemon has started.
+     *
+     * @param kind the name of the method
+     * @param dataCentre {@code same} or {@code other}, or {@code unknown} for a seed that is no member yet
+     * @param bytes the bytes of the request or of the reply
+     */
+    public void recordPeerBytes(String kind, String dataCentre, long bytes) {
+        peerBytes
+                .computeIfAbsent(
+                        new PeerTags(kind, dataCentre),
+                        k -> registry.counter(
+                                "fuchsiastand_peer_bytes", "kind", k.kind(), "data_centre", k.dataCentre()))
+                .increment(bytes);
+    }
+
     /**
      * Registers a gauge.
      *
