--- a/core/src/main/java/io/fuchsiastand/queue/FairQueue.java
+++ b/core/src/main/java/io/fuchsiastand/queue/FairQueue.java
@@ -158,9 +158,8 @@
         return () -> cancel(c);
     }
 
-    // Predicts when the waiting calls and the new one start, and refuses those that would miss their deadlines. A
-    // refused
-    // call takes no slot, so those behind it are predicted to start earlier.
+    // Predicts when the waiting calls and the new one start, and refuses those that would miss their deadlines. Refused
+    // calls take no slots, so those behind them are predicted to start earlier.
     private void submitByDueDate(SubmittedCall c, List<Callback> callbacks) {
         long now = clock.nanoTime();
         SubQueues predicted = waiting.copyWith(c);
