Take back the wait until the target and the early question to the circuit breaker

Calls that wait for a slot may be accepted by a circuit breaker that would have rejected them on arrival.

--- a/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/CallAttempts.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/CallAttempts.java
@@ -104,13 +104,11 @@
         return attempts > ATTEMPT_LIMIT || queuesAsked >= MAX_QUEUES_ASKED;
     }
 
-    // Whether the candidate with the shortest queue lets the request wait if it is the last resort: until the target,
-    // or
-    // for a quarter of the remaining time.
+    // Whether the request can still wait at the candidate with the shortest queue.
     private boolean canWait() {
-        long now = clock.nanoTime();
-        long maxWaitNanos = Math.max(routed.target() - now, (routed.deadline() - now) / 4);
-        return shortestQueue != null && !lastResort && shortestQueueMillis * NANOS_PER_MILLI < maxWaitNanos;
+        return shortestQueue != null
+                && !lastResort
+                && clock.nanoTime() + shortestQueueMillis * NANOS_PER_MILLI - routed.deadline() < 0;
     }
 
     // Records a refusal by the daemon of a candidate's host.
--- a/daemon/src/main/java/io/fuchsiastand/daemon/owner/OwnerService.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/owner/OwnerService.java
@@ -23,7 +23,6 @@
 import io.fuchsiastand.error.ErrorCode;
 import io.fuchsiastand.health.Outcome;
 import io.fuchsiastand.queue.FairQueue;
-import io.fuchsiastand.queue.QueueOrder;
 import io.fuchsiastand.routing.BackendState;
 import io.fuchsiastand.time.Clock;
 import io.servicetalk.concurrent.Executor;
@@ -168,11 +167,6 @@
         if (!backend.rateLimit().waitTime(clock.nanoTime()).isZero()) {
             return failed(rateLimited(backend));
         }
-        long now = clock.nanoTime();
-        boolean refusesAtOnce = backend.queue().order() == QueueOrder.DUE_DATE && !call.idempotent();
-        if (refusesAtOnce && backend.circuitBreaker().rejectsNonIdempotentCalls(now)) {
-            return failed(heldBack(backend, call, now));
-        }
         return defer(() -> slots.acquire(backend, call).flatMap(permit -> sendIfAllowed(backend, call, permit)));
     }
 
@@ -203,27 +197,24 @@
         if (!backend.circuitBreaker().tryStartCall(call.idempotent(), call.lastResort(), now)) {
             permit.release();
             backend.rateLimit().putBack();
-            return failed(heldBack(backend, call, now));
+            double faultProbability = backend.circuitBreaker().faultProbability(now);
+            log.write(
+                    "held back",
+                    idOf(call),
+                    "server",
+                    call.backend(),
+                    "suspicion",
+                    faultProbability,
+                    "idempotent",
+                    call.idempotent());
+            long retryAfterMillis = Math.max(
+                    MIN_RETRY_AFTER_MILLIS,
+                    backend.circuitBreaker().retryDelay(now).toMillis());
+            return failed(RefusalException.rejectedByCircuitBreaker(faultProbability, retryAfterMillis));
         }
         return send(backend, call, permit);
     }
 
-    private RefusalException heldBack(LocalBackend backend, BackendCall call, long now) {
-        double faultProbability = backend.circuitBreaker().faultProbability(now);
-        log.write(
-                "held back",
-                idOf(call),
-                "server",
-                call.backend(),
-                "suspicion",
-                faultProbability,
-                "idempotent",
-                call.idempotent());
-        long retryAfterMillis = Math.max(
-                MIN_RETRY_AFTER_MILLIS, backend.circuitBreaker().retryDelay(now).toMillis());
-        return RefusalException.rejectedByCircuitBreaker(faultProbability, retryAfterMillis);
-    }
-
     private static RefusalException draining() {
         return RefusalException.notSent(ErrorCode.NO_BACKEND, "the backend server is draining", 0);
     }
--- a/daemon/src/main/java/io/fuchsiastand/daemon/owner/SlotAdmission.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/owner/SlotAdmission.java
@@ -96,18 +96,22 @@
                 .onErrorMap(TimeoutException.class, e -> refusalAfterWait(backend, call, submission));
     }
 
-    // A call for which no other backend server is left also waits as long as it can still meet its target.
+    // A call for which no other backend server is left waits as long as it can still finish by its deadline.
     private static long maxWaitNanos(LocalBackend backend, BackendCall call, long now) {
-        long share = (long) (MAX_QUEUE_WAIT_SHARE * (call.deadline() - now));
+        long left = call.deadline() - now;
         return backend.queue().order() == QueueOrder.DUE_DATE && call.lastResort()
-                ? Math.max(share, call.target() - now - expectedNanos(backend))
-                : share;
+                ? left - expectedNanos(backend)
+                : (long) (MAX_QUEUE_WAIT_SHARE * left);
     }
 
     private RefusalException refusalAfterWait(LocalBackend backend, BackendCall call, Submission s) {
+        boolean wasLastResort = backend.queue().order() == QueueOrder.DUE_DATE && call.lastResort();
+        ErrorCode code = wasLastResort ? ErrorCode.DEADLINE_NOT_RUN : ErrorCode.QUEUE_FULL;
+        String detail = wasLastResort
+                ? "the call got no slot in time to finish by its deadline"
+                : "the call got no slot within a quarter of its time";
         long waitNanos = backend.queue().estimatedWaitMillis() * NANOS_PER_MILLI;
-        QueueRefusal r = new QueueRefusal(ErrorCode.QUEUE_FULL, waitNanos, 0, s.expectedNanos());
-        return refusal(backend, call, r, "the call got no slot within the part of its time that it may wait");
+        return refusal(backend, call, new QueueRefusal(code, waitNanos, 0, s.expectedNanos()), detail);
     }
 
     private RefusalException refusal(LocalBackend backend, BackendCall call, QueueRefusal r, String detail) {
