Count calls without an answer for as long as there is none

A backend server behind a path that lost calls looked as busy as usual a second after the last of them was sent, and got further calls: the calls of an ingress daemon aged like a report. Each call without an answer now adds its cost by slot to the expected end. The test sendsNoFurtherCallsByWorkToAHostThatAnswersNone fails without the change.

--- a/core/src/main/java/io/fuchsiastand/routing/Candidate.java
+++ b/core/src/main/java/io/fuchsiastand/routing/Candidate.java
@@ -312,7 +312,7 @@
 
     /**
      * Returns the time after which a call is expected to succeed if it is sent to the backend server now. Recent failures there
-     * lengthen it, as a call that fails has to be sent again.
+     * lengthen it, as a call that fails has to be sent again, and so does each call of this daemon that has no answer yet.
      *
      * @param costMillis the usual cost of the call in milliseconds of slot time
      * @param now monotonic time in nanoseconds
@@ -321,7 +321,9 @@
     public double expectedFinishMillis(double costMillis, long now) {
         double memory = Math.max(0, 1 - (now - lastFailureNanos) / FAILURE_MEMORY_NANOS);
         double success = 1 - Math.min(MAX_FAILURE_SHARE, failureShare * memory);
-        return busyTime.expectedFinishMillis(costMillis, Math.max(MIN_WEIGHT, weight), now) / success;
+        // Calls without an answer count for as long as there is none: the path to the host may lose them.
+        double unanswered = inFlight.get() * costMillis / slots();
+        return (busyTime.expectedFinishMillis(costMillis, Math.max(MIN_WEIGHT, weight), now) + unanswered) / success;
     }
 
     private int slots() {
--- a/core/src/test/java/io/fuchsiastand/routing/ServiceDirectoryTest.java
+++ b/core/src/test/java/io/fuchsiastand/routing/ServiceDirectoryTest.java
@@ -1,5 +1,6 @@
 package io.fuchsiastand.routing;
 
+import java.time.Duration;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
@@ -12,6 +13,7 @@
 import io.fuchsiastand.membership.Member;
 import io.fuchsiastand.protocol.MemberState;
 import io.fuchsiastand.time.Clock;
+import io.fuchsiastand.time.ManualClock;
 import org.junit.jupiter.api.Test;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -80,6 +82,19 @@
                 .contains("far");
     }
 
+    @Test
+    void sendsNoFurtherCallsByWorkToAHostThatAnswersNone() {
+        ManualClock time = new ManualClock();
+        ServiceDirectory d = new ServiceDirectory("dc0", time, ServiceDirectoryTest::member, s -> Optional.empty());
+        d.update(host(server("a", 1, BackendState.SERVING, 1), server("b", 1, BackendState.SERVING, 1)));
+        d.find("h0", "a").orElseThrow().begin(100, time.nanoTime());
+        time.advance(Duration.ofSeconds(10));
+        for (int i = 0; i < 20; i++) {
+            Candidate c = d.pick("menu", Set.of(), 0, 100, new Random(i)).orElseThrow();
+            assertThat(c.server().id()).isEqualTo("b");
+        }
+    }
+
     private Set<String> picksOf(double maxLocalUtilisation) {
         Random random = new Random(1);
         return IntStream.range(0, 50)
