Let the test of calls without an answer fail without its change

It now uses one source and a report, and then fails without the change ("expected: b but was : a") and passes with it.

--- a/core/src/test/java/io/fuchsiastand/routing/ServiceDirectoryTest.java
+++ b/core/src/test/java/io/fuchsiastand/routing/ServiceDirectoryTest.java
@@ -89,8 +89,10 @@
         d.update(host(server("a", 1, BackendState.SERVING, 1), server("b", 1, BackendState.SERVING, 1)));
         d.find("h0", "a").orElseThrow().begin(100, time.nanoTime());
         time.advance(Duration.ofSeconds(10));
+        d.find("h0", "b").orElseThrow().recordWork(10, 0, 0, time.nanoTime());
+        Random random = new Random(1);
         for (int i = 0; i < 20; i++) {
-            Candidate c = d.pick("menu", Set.of(), 0, 100, new Random(i)).orElseThrow();
+            Candidate c = d.pick("menu", Set.of(), 0, 100, random).orElseThrow();
             assertThat(c.server().id()).isEqualTo("b");
         }
     }
