Bound what unfinished messages of all connections hold together

Callers who do not finish their requests ended the process of a daemon, and with it the requests of all others on the host.

Cause: each message had a limit in bytes on the wire, but a decoded header line of four bytes takes 130 to 260 bytes (class histogram of a daemon), and nothing bounded the sum over all connections. ServiceTalk also keeps the last request of an idle connection, and each chunk of one byte as a buffer of its own.

Change: SharedBuffer (longest queue drop) counts, in bytes of memory, the sections that have not ended, the requests without a response, the last request of a connection, kept bodies and bodies of announcements. When the sum exceeds an eighth of the heap (most_unfinished_mb), the connection that holds most is closed. Its memory counts until it is closed. This holds for callers, for other daemons, backend servers and announcements; connections to the store have the bound on lines. Bodies in chunks of callers are held to the size that the configuration allows.

BodyBudgetTest said that short bodies are always kept. A thousand of them fill the heap, so they are now kept while the host has room; the test checks the same hundred, and that the next one is streamed.

--- a/daemon/src/main/java/io/fuchsiastand/daemon/Daemon.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/Daemon.java
@@ -114,7 +114,7 @@
         this.deployment = deployment;
         HeaderConventions conventions = deployment.headerConventions();
         board = new Blackboard(settings, settings.ports(), clock);
-        transport = new Transport(settings.tls());
+        transport = new Transport(settings.tls(), settings.memory());
         peers = new Peers(transport, clock);
         configuration = new ConfigurationController(board);
         gossip = new GossipController(board, peers, configuration::missingChunks);
@@ -132,8 +132,7 @@
         owner = new OwnerService(
                 backends::find, backends::leave, clock, settings.host(), conventions, log, transport.timer());
         RetryBudgets retryBudgets = new RetryBudgets(board, peers, backends::retryShare);
-        Dispatcher dispatcher =
-                new Dispatcher(board, peers, owner, metrics, conventions, log, retryBudgets, transport.timer());
+        Dispatcher dispatcher = new Dispatcher(board, peers, owner, metrics, conventions, log, retryBudgets, transport);
         IdempotencyGuard idempotencyGuard =
                 new IdempotencyGuard(idempotency, limits, settings.host(), dispatcher::dispatch);
         callerService = new CallerService(
@@ -271,6 +270,8 @@
         limits.start();
         tokenIssuers.start();
         metrics.registerGauge("fuchsiastand_in_flight", callerService::inFlight);
+        metrics.registerGauge("fuchsiastand_unfinished_bytes", transport.buffer()::heldBytes);
+        metrics.registerCounter("fuchsiastand_connections_dropped", transport.buffer()::drops);
         metrics.registerGauge("fuchsiastand_members", board::fleetSize);
         metrics.registerGauge(
                 "fuchsiastand_configuration_version",
--- /dev/null
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/board/MemoryLimits.java
@@ -0,0 +1,30 @@
+package io.fuchsiastand.daemon.board;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.fuchsiastand.config.TomlFile;
+import io.fuchsiastand.http.MessageLimits;
+
+/**
+ * Limits on what connections hold in the memory of a daemon, from the table {@code limits} of the settings.
+ *
+ * @param headerFields the maximum number of lines in a header or trailer section
+ * @param unfinishedBytes what all messages that are not complete, and all bodies that are kept, may take together, in bytes
+ */
+public record MemoryLimits(int headerFields, long unfinishedBytes) {
+
+    private static final int HEAP_DIVISOR = 8;
+    private static final int MAX_HEADER_FIELDS = 1_000_000;
+    private static final int MAX_MEGABYTES = 65_536;
+    private static final String TABLE = "limits";
+
+    /** The limits that apply when the settings have none. */
+    public static final MemoryLimits DEFAULT = new MemoryLimits(
+            MessageLimits.DEFAULT_SECTION_LINES, Runtime.getRuntime().maxMemory() / HEAP_DIVISOR);
+
+    static MemoryLimits read(TomlFile f, JsonNode t) {
+        long megabytes = Settings.integer(f, TABLE, t, "most_unfinished_mb", 0, 0, MAX_MEGABYTES);
+        return new MemoryLimits(
+                Settings.integer(f, TABLE, t, "most_header_fields", DEFAULT.headerFields(), 1, MAX_HEADER_FIELDS),
+                megabytes == 0 ? DEFAULT.unfinishedBytes() : megabytes << 20);
+    }
+}
--- a/daemon/src/main/java/io/fuchsiastand/daemon/board/Settings.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/board/Settings.java
@@ -41,6 +41,7 @@
  * @param rules the limits that hold for the whole fleet, and the time within which a process must end after the signal
  *     to stop
  * @param scheduling which decisions about where and when calls run are made by their expected work
+ * @param memory the limits on what connections hold in memory
  */
 public record Settings(
         String host,
@@ -58,7 +59,8 @@
         boolean accessLog,
         Optional<String> service,
         FleetRules rules,
-        Scheduling scheduling) {
+        Scheduling scheduling,
+        MemoryLimits memory) {
 
     private static final Duration DEFAULT_KEYS_STALE_AFTER = Duration.ofSeconds(5);
     /** The highest port number. */
@@ -194,7 +196,9 @@
                         "restart",
                         "platform",
                         "keys_stale",
-                        "most_in_flight")));
+                        "most_in_flight",
+                        "most_header_fields",
+                        "most_unfinished_mb")));
         JsonNode log = f.table("", root, "log");
         f.checkKeys("log", log, Set.of("access"));
         return new Settings(
@@ -213,7 +217,8 @@
                 f.flag("log", log, "access", false),
                 Optional.ofNullable(root.has("service") ? f.text("", root, "service", "") : null),
                 FleetRules.read(f, f.table("", root, "rules")),
-                Scheduling.read(f, f.table("", root, "scheduling")));
+                Scheduling.read(f, f.table("", root, "scheduling")),
+                MemoryLimits.read(f, limits));
     }
 
     private static Ports ports(TomlFile f, JsonNode t) {
@@ -315,7 +320,7 @@
         return out;
     }
 
-    private static int integer(TomlFile f, String path, JsonNode t, String key, int fallback, int min, int max) {
+    static int integer(TomlFile f, String path, JsonNode t, String key, int fallback, int min, int max) {
         return (int) f.number(path, t, key, OptionalDouble.of(fallback), min, max);
     }
 }
--- a/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/BodyBudget.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/BodyBudget.java
@@ -2,10 +2,13 @@
 
 import java.util.concurrent.atomic.AtomicLong;
 
+import io.fuchsiastand.memory.SharedBuffer;
+
 /**
  * Limits the memory for request bodies that are kept until their request is answered, so that it can be sent to another
- * backend server if one refuses it. Short bodies are always kept. A longer one is kept if its length is known and the
- * budget of the daemon allows it; otherwise it is streamed and can be sent only once.
+ * backend server if one refuses it. Short bodies are kept as long as the memory of the host for messages has room. A longer
+ * one is kept if its length is known and the budget of the daemon allows it too; otherwise it is streamed and can be sent
+ * only once.
  *
  * <p>Thread-safe.
  */
@@ -15,15 +18,18 @@
     private static final long MAX_KEPT_BODY_BYTES = 1024 * 1024;
 
     private final long maxBytes;
+    private final SharedBuffer buffer;
     private final AtomicLong reservedBytes = new AtomicLong();
 
     /**
      * Creates a budget.
      *
      * @param maxBytes the maximum total length of the longer bodies that are kept at the same time
+     * @param buffer the memory of the host for messages, which includes all kept bodies
      */
-    BodyBudget(long maxBytes) {
+    BodyBudget(long maxBytes, SharedBuffer buffer) {
         this.maxBytes = maxBytes;
+        this.buffer = buffer;
     }
 
     /**
@@ -34,12 +40,12 @@
      */
     boolean tryReserve(long length) {
         if (length <= MAX_SHORT_BODY_BYTES) {
-            return true;
+            return buffer.tryReserve(length);
         }
         if (length > MAX_KEPT_BODY_BYTES) {
             return false;
         }
-        if (reservedBytes.addAndGet(length) > maxBytes) {
+        if (reservedBytes.addAndGet(length) > maxBytes || !buffer.tryReserve(length)) {
             reservedBytes.addAndGet(-length);
             return false;
         }
@@ -52,6 +58,7 @@
      * @param length the length with which it was reserved
      */
     void release(long length) {
+        buffer.release(length);
         if (length > MAX_SHORT_BODY_BYTES) {
             reservedBytes.addAndGet(-length);
         }
--- a/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/Dispatcher.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/Dispatcher.java
@@ -20,6 +20,7 @@
 import io.fuchsiastand.daemon.http.Peers;
 import io.fuchsiastand.daemon.http.RefusalException;
 import io.fuchsiastand.daemon.http.RequestCheck;
+import io.fuchsiastand.daemon.http.Transport;
 import io.fuchsiastand.daemon.metrics.Metrics;
 import io.fuchsiastand.daemon.metrics.RequestLog;
 import io.fuchsiastand.daemon.owner.BackendCall;
@@ -79,7 +80,7 @@
     private final RequestLog log;
     private final AnswerCheck answerCheck;
     private final Executor timer;
-    private final BodyBudget bodyBudget = new BodyBudget(Runtime.getRuntime().maxMemory() / KEPT_BODIES_HEAP_DIVISOR);
+    private final BodyBudget bodyBudget;
     private final RetryBudgets budgets;
     private final Map<String, ServiceBaseline> baselines = new ConcurrentHashMap<>();
     private final StreamingHttpRequestFactory requestFactory = new DefaultStreamingHttpRequestResponseFactory(
@@ -95,7 +96,7 @@
      * @param conventions the names of the headers that callers and backend servers use
      * @param log the log of decisions about requests
      * @param budgets the retry budgets by service
-     * @param timer runs the timeouts of requests to other daemons
+     * @param transport has the timer for requests to other daemons, and the memory for bodies that are kept
      */
     public Dispatcher(
             Blackboard board,
@@ -105,9 +106,10 @@
             HeaderConventions conventions,
             RequestLog log,
             RetryBudgets budgets,
-            Executor timer) {
+            Transport transport) {
+        bodyBudget = new BodyBudget(Runtime.getRuntime().maxMemory() / KEPT_BODIES_HEAP_DIVISOR, transport.buffer());
         this.budgets = budgets;
-        this.timer = timer;
+        timer = transport.timer();
         this.log = log;
         this.conventions = conventions;
         answerCheck = new AnswerCheck(conventions, log);
--- a/daemon/src/main/java/io/fuchsiastand/daemon/edge/CallerService.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/edge/CallerService.java
@@ -187,7 +187,7 @@
             return failed(
                     RefusalException.notRun(ErrorCode.NOT_READY, ErrorCode.NOT_READY.title(), RETRY_AFTER_MILLIS));
         }
-        RequestCheck.check(request);
+        RequestCheck.check(request, board.settings().memory().headerFields());
         RequestCheck.checkSize(request, active.configuration().limits());
         RouteMatch match = active.routes()
                 .find(hostOf(request), RequestPath.parse(request.rawPath()))
--- a/daemon/src/main/java/io/fuchsiastand/daemon/http/RequestCheck.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/http/RequestCheck.java
@@ -17,7 +17,6 @@
 public final class RequestCheck {
 
     private static final String CONTENT_LENGTH = "content-length";
-    private static final int MAX_HEADER_FIELDS = 200;
     // The colon, the space and the line end (CR and LF) of a header field.
     private static final int FIELD_OVERHEAD_BYTES = 4;
     private static final String TRANSFER_ENCODING = "transfer-encoding";
@@ -29,9 +28,10 @@
      * Checks the method and the header fields of a request.
      *
      * @param request the request
+     * @param maxFields the maximum number of header fields
      * @throws RefusalException if the request must not be forwarded
      */
-    public static void check(StreamingHttpRequest request) {
+    public static void check(StreamingHttpRequest request, int maxFields) {
         HttpHeaders h = request.headers();
         if (!METHODS.contains(request.method().name())) {
             throw bad("the method " + request.method().name() + ", which the daemon does not forward");
@@ -50,7 +50,7 @@
         if (!h.contains("host") && request.version().equals(HttpProtocolVersion.HTTP_1_1)) {
             throw bad("no Host field");
         }
-        checkFieldValues(h);
+        checkFieldValues(h, maxFields);
         checkNotRepeated(h, HeaderNames.AUTHORIZATION);
         checkNotRepeated(h, HeaderNames.IDEMPOTENCY_KEY);
     }
@@ -103,7 +103,7 @@
     }
 
     // HTTP implementations interpret NUL, carriage return and line feed inside a field value differently.
-    private static void checkFieldValues(HttpHeaders h) {
+    private static void checkFieldValues(HttpHeaders h, int maxFields) {
         int fields = 0;
         for (Map.Entry<CharSequence, CharSequence> e : h) {
             fields++;
@@ -115,9 +115,9 @@
                 }
             }
         }
-        if (fields > MAX_HEADER_FIELDS) {
+        if (fields > maxFields) {
             throw RefusalException.notRun(
-                    ErrorCode.FIELDS_TOO_LARGE, "the request has more than " + MAX_HEADER_FIELDS + " header fields");
+                    ErrorCode.FIELDS_TOO_LARGE, "the request has more than " + maxFields + " header fields");
         }
     }
 
--- a/daemon/src/main/java/io/fuchsiastand/daemon/http/RequestSizeLimit.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/http/RequestSizeLimit.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 
 import io.fuchsiastand.error.ErrorCode;
+import io.fuchsiastand.http.MessageLimits;
 import io.fuchsiastand.http.MessageSizeLimit;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -22,13 +23,11 @@
      * limit gets status 413 or 431, and the connection is closed.
      *
      * @param connection the connection
-     * @param maxSectionBytes the limit on a header or trailer section, in bytes
-     * @param maxBodyBytes the limit on a body, in bytes
+     * @param limits the limits
      */
-    static void install(ConnectionInfo connection, int maxSectionBytes, long maxBodyBytes) {
+    static void install(ConnectionInfo connection, MessageLimits limits) {
         if (connection instanceof NettyConnectionContext c) {
-            MessageSizeLimit.install(
-                    c.nettyChannel().pipeline(), maxSectionBytes, maxBodyBytes, RequestSizeLimit::reject);
+            MessageSizeLimit.install(c.nettyChannel().pipeline(), limits, RequestSizeLimit::reject);
         }
     }
 
@@ -37,17 +36,34 @@
      * the limit, the connection is closed without a response: the request may run, and its response may have begun.
      *
      * @param connection the connection
-     * @param maxSectionBytes the limit on a header or trailer section, in bytes
+     * @param limits the limits
      */
-    static void installForSections(ConnectionInfo connection, int maxSectionBytes) {
+    static void installForForwarding(ConnectionInfo connection, MessageLimits limits) {
         if (connection instanceof NettyConnectionContext c) {
-            MessageSizeLimit.install(
-                    c.nettyChannel().pipeline(), maxSectionBytes, MessageSizeLimit.UNLIMITED, MessageSizeLimit::close);
+            MessageSizeLimit.install(c.nettyChannel().pipeline(), limits, RequestSizeLimit::close);
         }
     }
 
+    private static void close(ChannelHandlerContext context, MessageSizeLimit.Part part, String problem) {
+        Logger.info("{} closing a connection: {}", codeOf(part).code(), problem);
+        MessageSizeLimit.close(context, part, problem);
+    }
+
+    private static ErrorCode codeOf(MessageSizeLimit.Part part) {
+        return switch (part) {
+            case BODY -> ErrorCode.BODY_TOO_LARGE;
+            case SECTION -> ErrorCode.FIELDS_TOO_LARGE;
+            case SHARE -> ErrorCode.OVERLOADED;
+        };
+    }
+
     private static void reject(ChannelHandlerContext context, MessageSizeLimit.Part part, String problem) {
-        ErrorCode code = part == MessageSizeLimit.Part.BODY ? ErrorCode.BODY_TOO_LARGE : ErrorCode.FIELDS_TOO_LARGE;
+        if (part == MessageSizeLimit.Part.SHARE) {
+            // The request may be complete and run.
+            close(context, part, problem);
+            return;
+        }
+        ErrorCode code = codeOf(part);
         Logger.info("{} closing a connection: {}", code.code(), problem);
         respondAndClose(context, code, problem, HeaderNames.NOT_RUN);
     }
--- a/daemon/src/main/java/io/fuchsiastand/daemon/http/Transport.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/http/Transport.java
@@ -11,14 +11,18 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
 import io.fuchsiastand.config.RequestLimits;
+import io.fuchsiastand.daemon.board.MemoryLimits;
 import io.fuchsiastand.daemon.board.Settings;
 import io.fuchsiastand.error.ErrorCode;
 import io.fuchsiastand.error.FuchsiastandException;
 import io.fuchsiastand.http.LoadBalancing;
+import io.fuchsiastand.http.MessageLimits;
 import io.fuchsiastand.http.MessageSizeLimit;
+import io.fuchsiastand.memory.SharedBuffer;
 import io.fuchsiastand.time.Clock;
 import io.grpc.BindableService;
 import io.grpc.ManagedChannel;
@@ -94,14 +98,28 @@
     private final EventLoopGroup eventLoops;
     private final boolean epoll;
     private final Optional<Settings.Tls> tls;
+    private final int maxHeaderFields;
+    private final SharedBuffer buffer;
 
     /**
-     * Creates the transport of a daemon.
+     * Creates the transport of a daemon with the default limits.
      *
      * @param tls the files for mutual TLS between daemons, or empty for unencrypted traffic
      */
     public Transport(Optional<Settings.Tls> tls) {
+        this(tls, MemoryLimits.DEFAULT);
+    }
+
+    /**
+     * Creates the transport of a daemon.
+     *
+     * @param tls the files for mutual TLS between daemons, or empty for unencrypted traffic
+     * @param limits the limits on what connections hold in memory
+     */
+    public Transport(Optional<Settings.Tls> tls, MemoryLimits limits) {
         this.tls = tls;
+        maxHeaderFields = limits.headerFields();
+        buffer = new SharedBuffer(limits.unfinishedBytes());
         int threads = Math.max(1, Math.min(MAX_IO_THREADS, Runtime.getRuntime().availableProcessors() / 2));
         ioExecutor = NettyIoExecutors.createIoExecutor(threads, "io");
         eventLoops = EventLoopAwareNettyIoExecutors.toEventLoopAwareNettyIoExecutor(ioExecutor)
@@ -127,7 +145,8 @@
             CallerConnections connections) {
         HttpServerBuilder b = server(port).appendLateConnectionAcceptor(c -> {
             ConnectionGuard.install(c, limits, clock, connections);
-            RequestSizeLimit.installForSections(c, MAX_FORWARDED_SECTION_BYTES);
+            RequestSizeLimit.installForForwarding(c, messageLimits(MAX_FORWARDED_SECTION_BYTES, () -> limits.get()
+                    .bodyBytes()));
             return Completable.completed();
         });
         return listen(b, port, service);
@@ -142,7 +161,8 @@
      */
     public ServerContext dataServer(int port, StreamingHttpService service) {
         HttpServerBuilder b = server(port).appendLateConnectionAcceptor(c -> {
-            RequestSizeLimit.installForSections(c, MAX_FORWARDED_SECTION_BYTES);
+            RequestSizeLimit.installForForwarding(
+                    c, messageLimits(MAX_FORWARDED_SECTION_BYTES, () -> MessageSizeLimit.UNLIMITED));
             return Completable.completed();
         });
         tls.ifPresent(t -> b.sslConfig(new ServerSslConfigBuilder(() -> open(t.certificate()), () -> open(t.key()))
@@ -181,7 +201,10 @@
                     .ioExecutor(ioExecutor)
                     .executor(blockingExecutor)
                     .appendLateConnectionAcceptor(c -> {
-                        RequestSizeLimit.install(c, MAX_SECTION_BYTES, MAX_KEPT_BODY_BYTES);
+                        RequestSizeLimit.install(
+                                c,
+                                new MessageLimits(
+                                        MAX_SECTION_BYTES, maxHeaderFields, () -> MAX_KEPT_BODY_BYTES, true, buffer));
                         return Completable.completed();
                     })
                     .listenBlockingAndAwait(service);
@@ -272,6 +295,15 @@
         return client(address, port).buildStreaming();
     }
 
+    /**
+     * Returns the memory that the connections share.
+     *
+     * @return the buffer for messages that are not complete
+     */
+    public SharedBuffer buffer() {
+        return buffer;
+    }
+
     /**
      * Returns the timer for calls, which runs on the I/O threads.
      *
@@ -295,13 +327,17 @@
                 .protocols(http1())
                 .socketOption(ServiceTalkSocketOptions.CONNECT_TIMEOUT, CONNECT_TIMEOUT_MILLIS)
                 .appendConnectionFactoryFilter(DeadConnectionDetection.forCalls())
-                .appendConnectionFactoryFilter(
-                        MessageSizeLimit.forResponses(MAX_SECTION_BYTES, MessageSizeLimit.UNLIMITED))
+                .appendConnectionFactoryFilter(MessageSizeLimit.forResponses(
+                        messageLimits(MAX_SECTION_BYTES, () -> MessageSizeLimit.UNLIMITED)))
                 .hostHeaderFallback(false)
                 // The daemon decides which calls are retried.
                 .appendClientFilter(RetryingHttpRequesterFilter.disableAutoRetries());
     }
 
+    private MessageLimits messageLimits(int maxSectionBytes, LongSupplier maxBodyBytes) {
+        return new MessageLimits(maxSectionBytes, maxHeaderFields, maxBodyBytes, false, buffer);
+    }
+
     private HttpServerBuilder server(int port) {
         return HttpServers.forAddress(new InetSocketAddress(port))
                 .ioExecutor(ioExecutor)
--- a/daemon/src/main/java/io/fuchsiastand/daemon/metrics/Metrics.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/metrics/Metrics.java
@@ -8,6 +8,7 @@
 import java.util.function.Supplier;
 
 import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.FunctionCounter;
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.Timer;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
@@ -92,6 +93,16 @@
         Gauge.builder(name, value).register(registry);
     }
 
+    /**
+     * Registers a counter that is kept elsewhere.
+     *
+     * @param name the name of the counter
+     * @param value supplies the count since the start
+     */
+    public void registerCounter(String name, Supplier<Number> value) {
+        FunctionCounter.builder(name, value, v -> v.get().doubleValue()).register(registry);
+    }
+
     /**
      * Returns the values of all meters.
      *
--- a/daemon/src/test/java/io/fuchsiastand/daemon/dispatch/BodyBudgetTest.java
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/dispatch/BodyBudgetTest.java
@@ -1,5 +1,6 @@
 package io.fuchsiastand.daemon.dispatch;
 
+import io.fuchsiastand.memory.SharedBuffer;
 import org.junit.jupiter.api.Test;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -9,7 +10,8 @@
     private static final long SHORT = 64 * 1024;
     private static final long UPLOAD = 300_000;
 
-    private final BodyBudget budget = new BodyBudget(1_000_000);
+    private final SharedBuffer buffer = new SharedBuffer(100 * SHORT);
+    private final BodyBudget budget = new BodyBudget(1_000_000, buffer);
 
     // The load: uploads that come in faster than they are answered. Memory stays bounded, and those beyond are
     // streamed.
@@ -25,10 +27,17 @@
     }
 
     @Test
-    void keepsShortBodiesAlways() {
+    void keepsShortBodiesBeyondTheBudgetWhileTheHostHasRoom() {
         for (int i = 0; i < 100; i++) {
             assertThat(budget.tryReserve(SHORT)).isTrue();
         }
+        assertThat(budget.tryReserve(SHORT)).isFalse();
+        assertThat(budget.tryReserve(UPLOAD)).isFalse();
+        for (int i = 0; i < 100; i++) {
+            budget.release(SHORT);
+        }
+        assertThat(buffer.heldBytes()).isEqualTo(0);
+        assertThat(budget.tryReserve(UPLOAD)).isTrue();
     }
 
     @Test
--- a/store/src/main/java/io/fuchsiastand/store/HttpObjectStore.java
+++ b/store/src/main/java/io/fuchsiastand/store/HttpObjectStore.java
@@ -9,6 +9,7 @@
 import io.fuchsiastand.error.ErrorCode;
 import io.fuchsiastand.error.FuchsiastandException;
 import io.fuchsiastand.http.LoadBalancing;
+import io.fuchsiastand.http.MessageLimits;
 import io.fuchsiastand.http.MessageSizeLimit;
 import io.servicetalk.buffer.api.Buffer;
 import io.servicetalk.http.api.BlockingHttpClient;
@@ -61,7 +62,8 @@
                 // is
                 // cancelled, two threads may access the queue between them at the same time, which can crash the JVM.
                 .executionStrategy(HttpExecutionStrategies.offloadNone())
-                .appendConnectionFactoryFilter(MessageSizeLimit.forResponses(MAX_SECTION_BYTES, MAX_BODY_BYTES))
+                .appendConnectionFactoryFilter(
+                        MessageSizeLimit.forResponses(MessageLimits.unshared(MAX_SECTION_BYTES, MAX_BODY_BYTES)))
                 .appendClientFilter(new TimeoutHttpRequesterFilter(timeout, true))
                 .buildBlocking();
     }
