--- a/core/src/main/java/io/fuchsiastand/work/BusyTime.java
+++ b/core/src/main/java/io/fuchsiastand/work/BusyTime.java
@@ -56,7 +56,7 @@
     /**
      * Records a report of the owner.
      *
-     * @param busyMillis the time in milliseconds, as {@link SlotSchedule} defines it; ignored if it is negative or not finite
+     * @param busyMillis the time in milliseconds, as {@link WaterFilling} defines it; ignored if it is negative or not finite
      * @param now monotonic time in nanoseconds
      */
     public void report(double busyMillis, long now) {
--- a/core/src/main/java/io/fuchsiastand/work/SlotSchedule.java
+++ b/core/src/main/java/io/fuchsiastand/work/WaterFilling.java
@@ -7,9 +7,9 @@
  * running call ends, such that these slots end at the same time. A long call takes away one slot, but the others need not
  * wait for it: the sum of all work would say so.
  */
-public final class SlotSchedule {
+public final class WaterFilling {
 
-    private SlotSchedule() {}
+    private WaterFilling() {}
 
     /**
      * Returns the time after which waiting work is done.
--- a/core/src/test/java/io/fuchsiastand/work/BusyTimeTest.java
+++ b/core/src/test/java/io/fuchsiastand/work/BusyTimeTest.java
@@ -55,10 +55,10 @@
 
     @Test
     void slotsAreBusyAsLongAsTheWaitingWorkNotAsTheLongestCall() {
-        assertThat(SlotSchedule.busyTime(new double[] {7_000, 100, 100}, 3, 200))
+        assertThat(WaterFilling.busyTime(new double[] {7_000, 100, 100}, 3, 200))
                 .isEqualTo(200);
-        assertThat(SlotSchedule.busyTime(new double[] {7_000}, 3, 200)).isEqualTo(100);
-        assertThat(SlotSchedule.busyTime(new double[0], 3, 0)).isEqualTo(0);
+        assertThat(WaterFilling.busyTime(new double[] {7_000}, 3, 200)).isEqualTo(100);
+        assertThat(WaterFilling.busyTime(new double[0], 3, 0)).isEqualTo(0);
     }
 
     private double finishMillis(BusyTime x) {
--- a/daemon/src/main/java/io/fuchsiastand/daemon/Rehearsal.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/Rehearsal.java
@@ -193,7 +193,8 @@
                 b.accessLog(),
                 b.service(),
                 b.rules(),
-                b.scheduling());
+                b.scheduling(),
+                b.memory());
     }
 
     private static int port(ServerContext server) {
--- a/daemon/src/main/java/io/fuchsiastand/daemon/owner/BackendWork.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/owner/BackendWork.java
@@ -3,7 +3,7 @@
 import java.util.concurrent.atomic.LongAdder;
 import java.util.stream.DoubleStream;
 
-import io.fuchsiastand.work.SlotSchedule;
+import io.fuchsiastand.work.WaterFilling;
 import io.fuchsiastand.work.WorkEstimates;
 import io.fuchsiastand.work.WorkKind;
 import org.tinylog.Logger;
@@ -67,7 +67,7 @@
     // The time in milliseconds until the running calls, those that wait and one more are done.
     double busyMillis(DoubleStream remainingMillis, int slots) {
         double waiting = Math.max(0, waitingMicros.sum()) / MICROS_PER_MILLI;
-        return SlotSchedule.busyTime(
+        return WaterFilling.busyTime(
                 remainingMillis.filter(x -> x > 0).toArray(), slots, waiting + estimates.meanMillis());
     }
 }
