Deliver each part of a body when it is decoded

Callers got a closed connection in place of the second answer on a connection: a client took a part of a body for the head of the next answer (ClassCastException). Since the bound on unfinished messages, small parts of bodies in chunks were held back and merged, and the last one could be delivered after the end of its message.

Parts are delivered as they are decoded again. A chunk of one byte takes a buffer of its own again, as before the bound; what bodies that are kept may take is bounded by their bytes.

--- a/store/src/main/java/io/fuchsiastand/http/MessageSizeLimit.java
+++ b/store/src/main/java/io/fuchsiastand/http/MessageSizeLimit.java
@@ -14,7 +14,6 @@
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.util.ReferenceCountUtil;
 import io.servicetalk.buffer.api.Buffer;
-import io.servicetalk.buffer.netty.BufferAllocators;
 import io.servicetalk.client.api.ConnectionFactoryFilter;
 import io.servicetalk.http.api.FilterableStreamingHttpConnection;
 import io.servicetalk.http.api.HttpMetaData;
@@ -50,7 +49,6 @@
     private final Rejection rejection;
     private final MessageLimits limits;
     private final SectionLines lines = new SectionLines();
-    private final BodyParts parts = new BodyParts();
     private SharedBuffer.Share share;
     private long heldBytes;
     private long undecodedBytes;
@@ -187,7 +185,6 @@
             }
             undecodedBytes += bytes.readableBytes();
             context.fireChannelRead(bytes);
-            parts.flush();
             if (undecodedBytes == 0) {
                 lines.partEnded();
             }
@@ -211,11 +208,6 @@
 
     private final class DecodedPartObserver extends ChannelDuplexHandler {
 
-        @Override
-        public void handlerAdded(ChannelHandlerContext context) {
-            parts.context = context;
-        }
-
         @Override
         public void channelRead(ChannelHandlerContext context, Object message) {
             undecodedBytes = 0;
@@ -234,7 +226,7 @@
                         Part.BODY,
                         "the body is longer than " + limits.bodyBytes().getAsLong() + " bytes");
             } else {
-                parts.add(message);
+                context.fireChannelRead(message);
             }
         }
 
@@ -251,7 +243,6 @@
 
         private void beginMessage(HttpMetaData m) {
             bodyBytes = 0;
-            parts.chunked = m.headers().contains("transfer-encoding");
             CharSequence length = m.headers().get("content-length");
             remainingBodyBytes = length == null ? 0 : parseLength(length);
             if (m instanceof HttpRequestMetaData) {
@@ -271,48 +262,4 @@
             }
         }
     }
-
-    /**
-     * Merges the small parts of a body that are decoded from the same bytes. A chunk of one byte would take a hundred times its
-     * size.
-     */
-    private static final class BodyParts {
-
-        private static final int SMALL_BYTES = 256;
-
-        private ChannelHandlerContext context;
-        private boolean chunked;
-        private Buffer first;
-        private Buffer merged;
-
-        private void add(Object message) {
-            if (chunked && message instanceof Buffer part && part.readableBytes() < SMALL_BYTES) {
-                addSmall(part);
-            } else {
-                flush();
-                context.fireChannelRead(message);
-            }
-        }
-
-        private void addSmall(Buffer part) {
-            if (merged != null) {
-                merged.writeBytes(part, part.readerIndex(), part.readableBytes());
-            } else if (first == null) {
-                first = part;
-            } else {
-                merged = BufferAllocators.DEFAULT_ALLOCATOR.newBuffer(SLICE_BYTES);
-                merged.writeBytes(first, first.readerIndex(), first.readableBytes());
-                merged.writeBytes(part, part.readerIndex(), part.readableBytes());
-            }
-        }
-
-        private void flush() {
-            Buffer part = merged != null ? merged : first;
-            merged = null;
-            first = null;
-            if (part != null) {
-                context.fireChannelRead(part);
-            }
-        }
-    }
 }
