--- a/daemon/src/test/java/io/fuchsiastand/daemon/HttpFramingTest.java
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/HttpFramingTest.java
@@ -32,7 +32,7 @@
 
     @BeforeAll
     void start() throws Exception {
-        fleet = new Fleet(2);
+        fleet = new Fleet(2, "most_header_fields = 1400\n");
         backend = new RawBackendServer();
         fleet.announce(0, "raw", "menu", backend.port());
         awaitSuccessfulCalls();
