Take a response without a status of HTTP for a failure

Callers got an answer with status 600 to 999 as it came: the decoder takes any number of three digits from 100. Statuses 000 to 099, of fewer or more digits, with signs, spaces or letters were failures before, and stay so.

The owner and the ingress daemon now take a response whose status is not 200 to 599 for one that is not the response to the request: the call may have run, the connection is closed, and the caller gets 502. That holds for interim responses too, of which the decoder already refused 101 unasked, a body and an endless number.

--- a/daemon/src/main/java/io/fuchsiastand/daemon/http/HeaderConventions.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/http/HeaderConventions.java
@@ -45,6 +45,8 @@
         LongFunction<String> retryAfterFormat) {
 
     private static final long MILLIS_PER_SECOND = 1000;
+    private static final int MIN_FINAL_STATUS = 200;
+    private static final int MAX_STATUS = 599;
     private static final String STATUS_LINE_START = "HTTP/1.";
     private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [0-9]{3}(?=\\s|$)");
 
@@ -104,14 +106,21 @@
      *
      * @param id the identifier of the request, or null if it has none
      * @param response the response
-     * @return false if backend servers must repeat the identifier and the response has another one, none or several, or if
-     *     its head consists of parts of two responses
+     * @return false if backend servers must repeat the identifier and the response has another one, none or several, if its
+     *     head consists of parts of two responses, or if its status is none of a final response of HTTP
      */
     public boolean isResponseTo(CharSequence id, StreamingHttpResponse response) {
-        return !containsSecondStatusLine(response)
+        return hasFinalStatus(response)
+                && !containsSecondStatusLine(response)
                 && (!canIdentifyResponses(id) || isOnlyIdentifier(id, response.headers()));
     }
 
+    // The decoder accepts any number of three digits from 100.
+    private static boolean hasFinalStatus(StreamingHttpResponse response) {
+        int status = response.status().code();
+        return status >= MIN_FINAL_STATUS && status <= MAX_STATUS;
+    }
+
     private boolean isOnlyIdentifier(CharSequence id, HttpHeaders response) {
         Iterator<? extends CharSequence> ids = response.valuesIterator(requestIdHeader);
         return ids.hasNext() && id.toString().contentEquals(ids.next()) && !ids.hasNext();
