--- a/core/src/test/java/io/fuchsiastand/work/UnequalWorkTest.java
+++ b/core/src/test/java/io/fuchsiastand/work/UnequalWorkTest.java
@@ -99,7 +99,7 @@
                 double work = waiting.stream()
                         .mapToDouble(c -> estimates.expectedMillis(c.kind()))
                         .sum();
-                return SlotSchedule.busyTime(remaining, SLOTS, work + estimates.meanMillis());
+                return WaterFilling.busyTime(remaining, SLOTS, work + estimates.meanMillis());
             }
         }
 
--- a/daemon/src/main/java/io/fuchsiastand/daemon/Daemon.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/Daemon.java
@@ -117,8 +117,8 @@
         this.deployment = deployment;
         HeaderConventions conventions = deployment.headerConventions();
         board = new Blackboard(settings, settings.ports(), clock);
-        transport = new Transport(settings.tls());
-        peers = new Peers(transport, clock);
+        transport = new Transport(settings.tls(), settings.memory());
+        peers = new Peers(transport, clock, this::recordPeerBytes);
         configuration = new ConfigurationController(board);
         gossip = new GossipController(board, peers, configuration::missingChunks);
         backends = new BackendController(board, transport);
@@ -134,8 +134,7 @@
         RequestLog log = new RequestLog(clock);
         owner = createOwner(conventions, log);
         RetryBudgets retryBudgets = new RetryBudgets(board, peers, backends::retryShare);
-        Dispatcher dispatcher =
-                new Dispatcher(board, peers, owner, metrics, conventions, log, retryBudgets, transport.timer());
+        Dispatcher dispatcher = new Dispatcher(board, peers, owner, metrics, conventions, log, retryBudgets, transport);
         IdempotencyGuard idempotencyGuard =
                 new IdempotencyGuard(idempotency, limits, settings.host(), dispatcher::dispatch);
         callerService = new CallerService(
@@ -237,14 +236,6 @@
         }
     }
 
-    /** Sends warm-up calls, so that a build can record the classes that the processing of calls loads. */
-    void runWarmup() {
-        Warmup.run(transport, board.clock());
-        // Waits 100 ms for each thread for the platform, so that the controllers and these threads run and load their
-        // classes too. Only the number of threads is used.
-        platformThreads.forEach(t -> sleep(READY_CHECK_PERIOD));
-    }
-
     /** Stops the daemon at once, without a drain. */
     @Override
     public void close() {
@@ -295,6 +286,8 @@
         limits.start();
         tokenIssuers.start();
         metrics.registerGauge("fuchsiastand_in_flight", callerService::inFlight);
+        metrics.registerGauge("fuchsiastand_unfinished_bytes", transport.buffer()::heldBytes);
+        metrics.registerCounter("fuchsiastand_connections_dropped", transport.buffer()::drops);
         metrics.registerGauge("fuchsiastand_members", board::fleetSize);
         metrics.registerGauge("fuchsiastand_expected_busy_ms", backends::expectedBusyMillis);
         metrics.registerGauge("fuchsiastand_expected_work_error", backends::expectedWorkError);
@@ -353,6 +346,11 @@
         return timer.scheduleWithFixedDelay(guarded, 0, period.toMillis(), TimeUnit.MILLISECONDS);
     }
 
+    private void recordPeerBytes(String kind, String dataCentre, long bytes) {
+        String place = dataCentre.equals(board.settings().dataCentre()) ? "same" : "other";
+        metrics.recordPeerBytes(kind, dataCentre.isEmpty() ? "unknown" : place, bytes);
+    }
+
     private static Thread createThread(Runnable work, String name) {
         Thread t = new Thread(work, name);
         t.setDaemon(true);
--- a/daemon/src/main/java/io/fuchsiastand/daemon/metrics/Metrics.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/metrics/Metrics.java
@@ -8,6 +8,7 @@
 import java.util.function.Supplier;
 
 import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.FunctionCounter;
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.Timer;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
@@ -40,6 +41,7 @@
     private final Map<RefusalTags, Counter> refusals = new ConcurrentHashMap<>();
     private final Map<QueueTags, Counter> queueRefusals = new ConcurrentHashMap<>();
     private final Map<Integer, Timer> queueWaits = new ConcurrentHashMap<>();
+    private final Map<PeerTags, Counter> peerBytes = new ConcurrentHashMap<>();
     private final Counter retries = registry.counter("fuchsiastand_retries");
     private final Counter retriesOverBudget = registry.counter("fuchsiastand_retries_over_budget");
     private final Set<String> teams = ConcurrentHashMap.newKeySet();
@@ -50,6 +52,8 @@
 
     private record QueueTags(int priority, String code) {}
 
+    private record PeerTags(String kind, String dataCentre) {}
+
     /**
      * Records the latency of a call that ended with a response from a backend server, or with a response in which another
      * daemon refused the call or reported its failure.
@@ -136,6 +140,22 @@
         retriesOverBudget.increment();
     }
 
+    /**
+     * Records the bytes of a control message of a call that this daemon has started.
+     *
+     * @param kind the name of the method
+     * @param dataCentre {@code same} or {@code other}, or {@code unknown} for a seed that is no member yet
+     * @param bytes the bytes of the request or of the reply
+     */
+    public void recordPeerBytes(String kind, String dataCentre, long bytes) {
+        peerBytes
+                .computeIfAbsent(
+                        new PeerTags(kind, dataCentre),
+                        k -> registry.counter(
+                                "fuchsiastand_peer_bytes", "kind", k.kind(), "data_centre", k.dataCentre()))
+                .increment(bytes);
+    }
+
     /**
      * Registers a gauge.
      *
@@ -146,6 +166,16 @@
         Gauge.builder(name, value).register(registry);
     }
 
+    /**
+     * Registers a counter that is kept elsewhere.
+     *
+     * @param name the name of the counter
+     * @param value supplies the count since the start
+     */
+    public void registerCounter(String name, Supplier<Number> value) {
+        FunctionCounter.builder(name, value, v -> v.get().doubleValue()).register(registry);
+    }
+
     /**
      * Returns the values of all meters.
      *
--- a/daemon/src/main/java/io/fuchsiastand/daemon/owner/SlotAdmission.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/owner/SlotAdmission.java
@@ -114,7 +114,6 @@
                 .target(call.target())
                 .expectedNanos(expectedNanos(backend, call))
                 .maxWaitNanos(maxWaitNanos(backend, call, start))
-                .lastResort(call.lastResort())
                 .build();
         s.setRemoval(backend.queue()
                 .submit(
