--- a/core/src/main/java/io/fuchsiastand/work/ServiceWork.java
+++ b/core/src/main/java/io/fuchsiastand/work/ServiceWork.java
@@ -5,9 +5,8 @@
 
 /**
  * What an ingress daemon knows of the work at all backend servers of one service: the usual cost of each kind of call and the
- * usual time for which a
- * backend server is busy. Both come from the answers of the owners. The share of one report is limited, so that one
- * backend server with an unusual speed changes them little.
+ * usual time for which a backend server is busy. Both come from the answers of the owners. The share of one report is limited,
+ * so that one backend server with an unusual speed changes them little.
  *
  * <p>The number of kinds is limited; when it is reached, all are forgotten. Thread-safe.
  */
--- a/core/src/test/java/io/fuchsiastand/routing/ServiceDirectoryTest.java
+++ b/core/src/test/java/io/fuchsiastand/routing/ServiceDirectoryTest.java
@@ -63,9 +63,8 @@
         assertThat(find("ejected").weight()).isEqualTo(0);
     }
 
-    // The load: uploads in a data centre whose slots are all taken while another data centre is idle. A large body is
-    // sent
-    // there only when calls would have to wait long in the own one.
+    // The load: uploads in a data centre whose slots are all taken while another data centre is idle. A large body
+    // is sent there only when calls would have to wait long in the own one.
     @Test
     void keepsLargeBodiesInTheOwnDataCentreWhileAllItsSlotsAreTaken() {
         directory.update(host(server("near", 1, BackendState.SERVING, 1)));
--- a/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/CallAttempts.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/CallAttempts.java
@@ -78,9 +78,8 @@
     }
 
     // After an attempt that reached no backend server, another attempt starts only in the first half of the time
-    // until the deadline, so that the caller of a refused request has time to retry. A call without a team is assumed
-    // to
-    // come from a backend server that runs another request, which fails if the call is refused.
+    // until the deadline, so that the caller of a refused request has time to retry. A call without a team is
+    // assumed to come from a backend server that runs another request, which fails if the call is refused.
     private boolean hasTimeForAnotherOwner() {
         if (routed.team().isEmpty()) {
             return true;
--- a/daemon/src/main/java/io/fuchsiastand/daemon/edge/CallerService.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/edge/CallerService.java
@@ -61,9 +61,8 @@
     private static final long MAX_DEADLINE_MILLIS = Duration.ofMinutes(10).toMillis();
 
     private static final long OVERLOADED_RETRY_AFTER_MILLIS = 1000;
-    // Requests on open routes may exceed the limit of requests in flight by this part. They may come from backend
-    // servers
-    // that run other requests, which would fail if these were refused.
+    // Requests on open routes may exceed the limit of requests in flight by this part. They may come from
+    // backend servers that run other requests, which would fail if these were refused.
     private static final int OPEN_REQUESTS_DIVISOR = 4;
 
     // A call waits for a token at most this part of the time until its deadline.
--- a/store/src/main/java/io/fuchsiastand/http/MessageSizeLimit.java
+++ b/store/src/main/java/io/fuchsiastand/http/MessageSizeLimit.java
@@ -41,9 +41,8 @@
     private static final int MESSAGE_COST_BYTES = 1_000;
     // What the last request of an idle connection may take without being counted.
     private static final int ORDINARY_REQUEST_BYTES = 8_000;
-    // The decoder receives no more at once, so that a read that is full of short lines does not take memory before it
-    // is
-    // counted.
+    // The decoder receives no more at once, so that a read that is full of short lines does not take memory
+    // before it is counted.
     private static final int SLICE_BYTES = 2_048;
 
     private final Rejection rejection;
