Pass on answers that end with their connection

What callers saw: the answer of a backend server without Content-Length and without chunks, which ends with its connection, arrived with its whole body, but the daemon then closed the caller's connection in the middle of the chunked message, as if the backend server had broken off. A soak took this for an answer that was broken off, which is allowed, so that it never showed.

Cause: the decoder of a connection looks into the header fields of the head once more when the input ends, and takes a chunked message for incomplete. The daemon passes on the same header object, to which the server adds "Transfer-Encoding: chunked" for the caller. Ruled out: the limits on messages (same with them removed), the HTTP client (a client of its own gets such answers whole, on new and on used connections).

Change: the connections of calls pass on a copy of the head of a response without a length; the decoder keeps its own.

Test: RepeatedAnswerTest.passesOnAnAnswerThatEndsWithAConnectionOfItsOwn, "the connection closed inside a chunked body" before, passes now (285 cases of the class).

--- a/daemon/src/main/java/io/fuchsiastand/daemon/http/Transport.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/http/Transport.java
@@ -22,6 +22,7 @@
 import io.fuchsiastand.http.LoadBalancing;
 import io.fuchsiastand.http.MessageLimits;
 import io.fuchsiastand.http.MessageSizeLimit;
+import io.fuchsiastand.http.UndelimitedResponses;
 import io.fuchsiastand.memory.SharedBuffer;
 import io.fuchsiastand.time.Clock;
 import io.grpc.BindableService;
@@ -329,6 +330,7 @@
                 .appendConnectionFactoryFilter(DeadConnectionDetection.forCalls())
                 .appendConnectionFactoryFilter(MessageSizeLimit.forResponses(
                         messageLimits(MAX_SECTION_BYTES, () -> MessageSizeLimit.UNLIMITED)))
+                .appendConnectionFactoryFilter(UndelimitedResponses.passingOn())
                 .hostHeaderFallback(false)
                 // The daemon decides which calls are retried.
                 .appendClientFilter(RetryingHttpRequesterFilter.disableAutoRetries());
