Do not pass on answers without an end on used connections

Cause: a backend server answers a request on a kept connection without a length, so that the end of the connection ends the answer, and sends the delayed second answer to an earlier request before it closes. Such bytes are a part of the body for every reader. Ruled out: to look for a status line in the body, since a second answer may break off after its first byte.

Change: where answers repeat the identifier of their request, an answer without a length counts as a failure after which the request may have run, if its connection has carried other requests. On a connection of its own it is passed on as before. What this costs: a backend server that keeps connections open and then answers without a length loses these answers.

--- a/daemon/src/main/java/io/fuchsiastand/daemon/owner/CarriedRequests.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/owner/CarriedRequests.java
@@ -41,6 +41,24 @@
         return attribute.get().tryAdd(id);
     }
 
+    /**
+     * Returns whether a connection has carried more than one request.
+     *
+     * @param connection the connection
+     * @return true if further requests were recorded beside the latest one
+     */
+    static boolean carriesSeveral(ReservedStreamingHttpConnection connection) {
+        if (!(connection.connectionContext() instanceof NettyConnectionContext c)) {
+            return true;
+        }
+        CarriedRequests r = c.nettyChannel().attr(KEY).get();
+        return r != null && r.carriesSeveral();
+    }
+
+    private synchronized boolean carriesSeveral() {
+        return hashCodes.size() > 1;
+    }
+
     private synchronized boolean tryAdd(CharSequence id) {
         if (id == null) {
             return hashCodes.isEmpty() && hashCodes.add(0);
--- a/daemon/src/main/java/io/fuchsiastand/daemon/owner/OwnerService.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/owner/OwnerService.java
@@ -21,12 +21,14 @@
 import io.fuchsiastand.daemon.metrics.RequestLog;
 import io.fuchsiastand.error.ErrorCode;
 import io.fuchsiastand.health.Outcome;
+import io.fuchsiastand.http.UndelimitedResponses;
 import io.fuchsiastand.queue.FairQueue;
 import io.fuchsiastand.routing.BackendState;
 import io.fuchsiastand.time.Clock;
 import io.servicetalk.concurrent.Executor;
 import io.servicetalk.concurrent.api.Single;
 import io.servicetalk.http.api.HttpHeaders;
+import io.servicetalk.http.api.HttpRequestMethod;
 import io.servicetalk.http.api.HttpServiceContext;
 import io.servicetalk.http.api.ReservedStreamingHttpConnection;
 import io.servicetalk.http.api.StreamingHttpRequest;
@@ -311,13 +313,14 @@
                     return out;
                 })
                 .flatMap(r -> {
-                    if (conventions.isResponseTo(requestId, r)) {
+                    boolean own = conventions.isResponseTo(requestId, r);
+                    if (own && !mayContainOthers(connection, call, r)) {
                         return succeeded(handleResponse(backend, c, r, call, requestId, use));
                     }
                     use.close();
                     c.end(Outcome.FAILURE);
                     log.write(
-                            "answer to another request",
+                            own ? "answer without an end on a used connection" : "answer to another request",
                             requestId,
                             "server",
                             call.backend(),
@@ -334,6 +337,17 @@
                 });
     }
 
+    // A backend server may send the answer to an earlier request once more. If the response ends with its connection,
+    // such
+    // an answer after it looks like a part of its body.
+    private boolean mayContainOthers(
+            ReservedStreamingHttpConnection connection, BackendCall call, StreamingHttpResponse response) {
+        return UndelimitedResponses.isUndelimited(response)
+                && !HttpRequestMethod.HEAD.equals(call.request().method())
+                && conventions.backendsEchoRequestId()
+                && CarriedRequests.carriesSeveral(connection);
+    }
+
     private void setBackendHeaders(LocalBackend backend, BackendCall call, long leftNanos) {
         HttpHeaders h = call.request().headers();
         HeaderNames.removeInternal(h);
