Count calls that are cancelled after their deadline as failures

Cause, from reading: the ingress daemon ends a call 100 ms after its deadline. If the owner is so busy that it handles this end before its own timer for the deadline, the call ended as cancelled, which is no evidence, though its response was due. Not seen in a trace.

Test: LocalBackendWorkTest.countsACallThatIsCancelledAfterItsDeadlineAsA- Failure, red without the change, green with it.

--- a/daemon/src/main/java/io/fuchsiastand/daemon/owner/LocalBackend.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/owner/LocalBackend.java
@@ -157,6 +157,14 @@
             permit.release();
         }
 
+        /**
+         * Ends the call because the other side no longer waits for its response. After the deadline this counts as a failure,
+         * since the response was due by then.
+         */
+        void cancel() {
+            end(clock.nanoTime() - call.deadline() >= 0 ? Outcome.FAILURE : Outcome.CANCELLED);
+        }
+
         /**
          * Returns the time since the call was started.
          *
--- a/daemon/src/main/java/io/fuchsiastand/daemon/owner/OwnerService.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/owner/OwnerService.java
@@ -267,7 +267,7 @@
         Single<StreamingHttpResponse> response = reserveConnection(backend, call, requestId)
                 .onErrorMap(e -> endAfterConnectError(c, e))
                 .flatMap(connection -> exchange(backend, call, c, connection, requestId))
-                .beforeCancel(() -> c.end(Outcome.CANCELLED));
+                .beforeCancel(c::cancel);
         return slots.requests().follow(call, response);
     }
 
@@ -437,7 +437,7 @@
                 })
                 .beforeCancel(() -> {
                     use.close();
-                    c.end(Outcome.CANCELLED);
+                    c.cancel();
                 }));
     }
 
--- a/daemon/src/test/java/io/fuchsiastand/daemon/owner/LocalBackendWorkTest.java
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/owner/LocalBackendWorkTest.java
@@ -87,6 +87,23 @@
         assertThat(CallHeaders.read(request, clock).usualCostMillis()).isEqualTo(438);
     }
 
+    // Guards against a busy host that handles the end of the exchange before its own timer, so that no failure was
+    // counted.
+    @Test
+    void countsACallThatIsCancelledAfterItsDeadlineAsAFailure() {
+        double unknown = backend.circuitBreaker().faultProbability(clock.nanoTime());
+        cancelAfter(Duration.ofMillis(4_999));
+        assertThat(backend.circuitBreaker().faultProbability(clock.nanoTime())).isAtMost(unknown);
+        cancelAfter(Duration.ofMillis(5_001));
+        assertThat(backend.circuitBreaker().faultProbability(clock.nanoTime())).isGreaterThan(unknown);
+    }
+
+    private void cancelAfter(Duration time) {
+        LocalBackend.InFlightCall c = begin();
+        clock.advance(time);
+        c.cancel();
+    }
+
     private void run(int calls, long millis, boolean isAnswer, Outcome outcome) {
         for (int i = 0; i < calls; i++) {
             LocalBackend.InFlightCall c = begin();
