Predict where a call would stand in a queue

Operators could not see why a call would wait or be refused by a queue with due dates: the prediction was made only for calls that arrive, and only refusals were logged.

FairQueue.positionOf makes the same prediction for a call that is not submitted: the calls before it, its expected wait, and the code of a refusal. submit uses the extracted prediction with unchanged results.

--- a/core/src/main/java/io/fuchsiastand/queue/FairQueue.java
+++ b/core/src/main/java/io/fuchsiastand/queue/FairQueue.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 
@@ -52,6 +53,9 @@
         }
     }
 
+    /** The predicted start of a call, as a refusal at that time; {@code isRefused} says whether it comes to that. */
+    private record Prediction(SubmittedCall call, boolean isRefused, QueueRefusal refusal) {}
+
     /** Permission of one call to use a slot until it releases the permit. */
     public final class Permit {
         private final SubmittedCall call;
@@ -142,8 +146,7 @@
         List<Callback> callbacks = new ArrayList<>(2);
         SubmittedCall c;
         synchronized (this) {
-            long expected = s.expectedNanos() > 0 ? s.expectedNanos() : (long) meanHoldNanos;
-            c = new SubmittedCall(submitted++, s, expected, admitted, refused);
+            c = new SubmittedCall(submitted++, s, expectedNanos(s), admitted, refused);
             if (running.size() < slots && waiting.size() == 0) {
                 admit(c, callbacks);
             } else if (order == QueueOrder.DUE_DATE) {
@@ -158,32 +161,85 @@
         return () -> cancel(c);
     }
 
-    // Predicts when the waiting calls and the new one start, and refuses those that would miss their deadlines. Refused
-    // calls take no slots, so those behind them are predicted to start earlier.
     private void submitByDueDate(SubmittedCall c, List<Callback> callbacks) {
+        QueueRefusal ifFull = null;
+        for (Prediction p : predict(c)) {
+            if (p.isRefused()) {
+                callbacks.add(new Callback(p.call(), null, p.refusal()));
+                waiting.remove(p.call());
+            } else if (p.call() == c) {
+                ifFull = p.refusal();
+            }
+        }
+        if (ifFull != null) {
+            enqueue(c, ifFull, callbacks);
+        }
+    }
+
+    // Predicts when the waiting calls and a new one start, in their order, and which of them would miss their deadlines
+    // or
+    // wait too long. Refused calls take no slots, so those behind them are predicted to start earlier.
+    private List<Prediction> predict(SubmittedCall c) {
         long now = clock.nanoTime();
         SubQueues predicted = waiting.copyWith(c);
         SlotSchedule schedule = new SlotSchedule(slots, now);
         running.forEach(p -> schedule.addRunning(p.since, p.call.expectedNanos()));
-        QueueRefusal ifFull = null;
+        List<Prediction> out = new ArrayList<>(predicted.size());
         while (predicted.size() > 0) {
             long start = schedule.nextStart();
             SubmittedCall next = predicted.takeNext(start, meanHoldNanos);
             boolean waitsTooLong = next == c && start - now > c.submission().maxWaitNanos();
-            ErrorCode code = next.missesDeadline(start) ? ErrorCode.DEADLINE_NOT_RUN : ErrorCode.QUEUE_FULL;
+            boolean missesDeadline = next.missesDeadline(start);
+            ErrorCode code = missesDeadline ? ErrorCode.DEADLINE_NOT_RUN : ErrorCode.QUEUE_FULL;
             QueueRefusal r = new QueueRefusal(code, start - now, schedule.workNanos(), next.expectedNanos());
-            if (next.missesDeadline(start) || waitsTooLong) {
-                callbacks.add(new Callback(next, null, r));
-                waiting.remove(next);
-            } else {
-                ifFull = next == c ? r : ifFull;
+            out.add(new Prediction(next, missesDeadline || waitsTooLong, r));
+            if (!missesDeadline && !waitsTooLong) {
                 schedule.add(next.expectedNanos());
                 predicted.charge(next.submission(), next.expectedNanos());
             }
         }
-        if (ifFull != null) {
-            enqueue(c, ifFull, callbacks);
+        return out;
+    }
+
+    /**
+     * Predicts where a call would stand if it were submitted now. Nothing changes.
+     *
+     * @param s the call
+     * @return the position
+     */
+    public synchronized QueuePosition positionOf(Submission s) {
+        if (running.size() < slots && waiting.size() == 0) {
+            return new QueuePosition(0, 0, Optional.empty());
+        }
+        SubmittedCall c = new SubmittedCall(submitted, s, expectedNanos(s), permit -> {}, refusal -> {});
+        if (order == QueueOrder.DUE_DATE) {
+            List<Prediction> starts = predict(c).stream()
+                    .filter(p -> p.call() == c || !p.isRefused())
+                    .toList();
+            int before = 0;
+            while (starts.get(before).call() != c) {
+                before++;
+            }
+            Prediction own = starts.get(before);
+            return new QueuePosition(
+                    before,
+                    own.refusal().waitNanos(),
+                    own.isRefused() ? Optional.of(own.refusal().code()) : Optional.empty());
+        }
+        SubQueues predicted = waiting.copyWith(c);
+        int before = 0;
+        while (predicted.takeNext(clock.nanoTime(), meanHoldNanos) != c) {
+            before++;
         }
+        boolean missesDeadline = s.deadline() - clock.nanoTime() < meanWaitNanos(waiting.size() + 1);
+        return new QueuePosition(
+                before,
+                (long) meanWaitNanos(before + 1),
+                missesDeadline ? Optional.of(ErrorCode.DEADLINE_NOT_RUN) : Optional.empty());
+    }
+
+    private long expectedNanos(Submission s) {
+        return s.expectedNanos() > 0 ? s.expectedNanos() : (long) meanHoldNanos;
     }
 
     private synchronized void cancel(SubmittedCall c) {
@@ -212,6 +268,15 @@
         return running.size() + waiting.size();
     }
 
+    /**
+     * Returns the number of calls that wait.
+     *
+     * @return the number
+     */
+    public synchronized int waiting() {
+        return waiting.size();
+    }
+
     /**
      * Returns the number of calls that run.
      *
--- a/core/src/test/java/io/fuchsiastand/queue/DueDateQueueTest.java
+++ b/core/src/test/java/io/fuchsiastand/queue/DueDateQueueTest.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 
 import io.fuchsiastand.error.ErrorCode;
@@ -120,6 +121,21 @@
         assertThat(started).containsExactly("stuck", "after").inOrder();
     }
 
+    @Test
+    void tellsWhereACallWouldStandWithoutChangingTheQueue() {
+        Submission urgent = call("c", 9000).expectedNanos(nanos(100)).build();
+        assertThat(queue.positionOf(urgent)).isEqualTo(new QueuePosition(0, 0, Optional.empty()));
+        submit("running", call("a", 9000).expectedNanos(nanos(1000)));
+        submit("urgent", call("a", 9000).expectedNanos(nanos(500)));
+        submit("long", call("a", 9000).priority(1).expectedNanos(nanos(2000)));
+        assertThat(queue.positionOf(urgent)).isEqualTo(new QueuePosition(1, nanos(1500), Optional.empty()));
+        Submission late = call("b", 2000).priority(1).expectedNanos(nanos(600)).build();
+        assertThat(queue.positionOf(late))
+                .isEqualTo(new QueuePosition(2, nanos(3500), Optional.of(ErrorCode.DEADLINE_NOT_RUN)));
+        assertThat(queue.waiting()).isEqualTo(2);
+        assertThat(refused).isEmpty();
+    }
+
     @Test
     void spreadsTheReturnOfRefusedCallersButLeavesTimeToRun() {
         Random random = new Random(1);
--- a/core/src/test/java/io/fuchsiastand/queue/FairQueueTest.java
+++ b/core/src/test/java/io/fuchsiastand/queue/FairQueueTest.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 
 import io.fuchsiastand.error.ErrorCode;
 import io.fuchsiastand.time.ManualClock;
@@ -56,6 +57,22 @@
         assertThat(refused).hasSize(2);
     }
 
+    @Test
+    void tellsHowManyCallsOfOtherTeamsWouldGoBeforeACall() {
+        FairQueue q = new FairQueue(1, 10, clock);
+        submit(q, "a", NO_DEADLINE);
+        clock.advance(Duration.ofMillis(10));
+        running.remove(0).release();
+        for (int i = 0; i < 3; i++) {
+            submit(q, "a", NO_DEADLINE);
+        }
+        QueuePosition p = q.positionOf(Submission.builder("b", NO_DEADLINE).build());
+        assertThat(p).isEqualTo(new QueuePosition(2, Duration.ofMillis(30).toNanos(), Optional.empty()));
+        Submission urgent = Submission.builder("b", NO_DEADLINE).priority(-1).build();
+        assertThat(q.positionOf(urgent).before()).isEqualTo(0);
+        assertThat(q.waiting()).isEqualTo(2);
+    }
+
     @Test
     void refusesAtOnceACallExpectedToWaitPastItsDeadline() {
         FairQueue q = new FairQueue(1, 10, clock);
