Show the expected work of local backend servers in the status

Operators saw in fuchsiactl status neither whether decisions are made by expected work nor what runs and waits at a backend server.

The status of a daemon now has its scheduling settings, and for each backend server of its host the calls that run and wait, the expected busy time, and the estimates by route and size of body with their spread, which each kind now learns for itself. Tests of the estimates and of the printed status pass.

--- a/core/src/main/java/io/fuchsiastand/work/WorkEstimates.java
+++ b/core/src/main/java/io/fuchsiastand/work/WorkEstimates.java
@@ -1,6 +1,8 @@
 package io.fuchsiastand.work;
 
+import java.util.Comparator;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.OptionalDouble;
 
@@ -36,6 +38,7 @@
 
     private static final class Estimate {
         private double meanMillis;
+        private double relativeDeviation;
         private int calls;
         private boolean learned;
         private double reportedMillis;
@@ -75,7 +78,9 @@
         if (e.isKnown()) {
             double ratio = millis / e.meanMillis;
             ratios.add(ratio);
-            relativeError += MIN_SMOOTHING * (Math.abs(ratio - 1) - relativeError);
+            double deviation = Math.abs(ratio - 1);
+            relativeError += MIN_SMOOTHING * (deviation - relativeError);
+            e.relativeDeviation += MIN_SMOOTHING * (deviation - e.relativeDeviation);
         }
         e.learned = true;
         e.add(millis);
@@ -119,6 +124,20 @@
         return meanMillis();
     }
 
+    /**
+     * Returns the estimates that are known, for operators.
+     *
+     * @return the estimates by kind, the longest time first
+     */
+    public synchronized List<KindEstimate> known() {
+        return kinds.entrySet().stream()
+                .filter(e -> e.getValue().isKnown())
+                .map(e -> new KindEstimate(
+                        e.getKey(), e.getValue().meanMillis, e.getValue().relativeDeviation, e.getValue().learned))
+                .sorted(Comparator.comparingDouble(KindEstimate::meanMillis).reversed())
+                .toList();
+    }
+
     /**
      * Returns the mean time for which calls hold a slot, whatever their kind.
      *
--- a/core/src/main/java/io/fuchsiastand/work/WorkKind.java
+++ b/core/src/main/java/io/fuchsiastand/work/WorkKind.java
@@ -26,11 +26,20 @@
      * @return the kind
      */
     public static WorkKind of(String service, Route route, long bodyBytes) {
-        int digest = 31 * route.host().hashCode() + route.path().hashCode();
         int size = bodyBytes < 0 || bodyBytes == Long.MAX_VALUE
                 ? MAX_BODY_SIZE
                 : (Long.SIZE - Long.numberOfLeadingZeros(bodyBytes) + 1) / 2;
-        return new WorkKind(service, Integer.toHexString(digest), size);
+        return new WorkKind(service, digestOf(route), size);
+    }
+
+    /**
+     * Returns the digest of a route.
+     *
+     * @param route the route
+     * @return the digest in hexadecimal digits, as in {@link #route}
+     */
+    public static String digestOf(Route route) {
+        return Integer.toHexString(31 * route.host().hashCode() + route.path().hashCode());
     }
 
     /**
@@ -50,6 +59,18 @@
                 service, s.substring(0, dot), Math.min(MAX_BODY_SIZE, Integer.parseInt(s.substring(dot + 1))));
     }
 
+    /**
+     * Returns the length that all bodies of the kind stay below.
+     *
+     * @return the length in bytes; 0 without a body, {@link Long#MAX_VALUE} if it is unknown
+     */
+    public long bodyLimit() {
+        if (bodySize == 0) {
+            return 0;
+        }
+        return bodySize >= MAX_BODY_SIZE ? Long.MAX_VALUE : 1L << 2 * bodySize;
+    }
+
     /**
      * Returns the route and the size of the body in the form in which daemons tell each other.
      *
--- a/core/src/test/java/io/fuchsiastand/work/WorkEstimatesTest.java
+++ b/core/src/test/java/io/fuchsiastand/work/WorkEstimatesTest.java
@@ -1,5 +1,7 @@
 package io.fuchsiastand.work;
 
+import java.util.List;
+
 import org.junit.jupiter.api.Test;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -8,6 +10,7 @@
 
     private static final WorkKind A = new WorkKind("menu", "a", 0);
     private static final WorkKind B = new WorkKind("menu", "b", 0);
+    private static final WorkKind C = new WorkKind("menu", "c", 0);
 
     private final WorkEstimates estimates = new WorkEstimates();
 
@@ -51,6 +54,25 @@
         assertThat(estimates.expectedMillis(A)).isLessThan(200);
     }
 
+    @Test
+    void listsWhatItKnowsOfEachKindWithItsSpread() {
+        learn(A, 100, 50);
+        for (int i = 0; i < 200; i++) {
+            estimates.learn(B, i % 2 == 0 ? 100 : 300);
+        }
+        estimates.adopt(C, 400);
+        estimates.learn(new WorkKind("menu", "d", 0), 1);
+        List<KindEstimate> known = estimates.known();
+        assertThat(known.stream().map(KindEstimate::kind))
+                .containsExactly(C, B, A)
+                .inOrder();
+        assertThat(known.stream().map(KindEstimate::learned))
+                .containsExactly(false, true, true)
+                .inOrder();
+        assertThat(known.get(1).relativeDeviation()).isWithin(0.1).of(0.5);
+        assertThat(known.get(2).relativeDeviation()).isEqualTo(0);
+    }
+
     // 3 calls in 100 take 7 times as long.
     @Test
     void aCallThatHasOutlivedTheMeanIsExpectedToTakeLonger() {
--- a/daemon/src/main/java/io/fuchsiastand/daemon/Daemon.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/Daemon.java
@@ -177,7 +177,7 @@
      * @return the status
      */
     public FleetStatus status() {
-        return FleetStatus.of(board, limits, platform.isRelay(), callerService.inFlight());
+        return FleetStatus.of(board, limits, backends.all(), platform.isRelay(), callerService.inFlight());
     }
 
     /**
--- a/daemon/src/main/java/io/fuchsiastand/daemon/admin/FleetStatus.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/admin/FleetStatus.java
@@ -1,11 +1,14 @@
 package io.fuchsiastand.daemon.admin;
 
+import java.util.Comparator;
 import java.util.List;
 import java.util.Locale;
 
 import io.fuchsiastand.daemon.board.Blackboard;
 import io.fuchsiastand.daemon.board.Lifecycle;
+import io.fuchsiastand.daemon.board.Scheduling;
 import io.fuchsiastand.daemon.limit.LimitController;
+import io.fuchsiastand.daemon.owner.LocalBackend;
 import io.fuchsiastand.limit.UsableHalves;
 import io.fuchsiastand.routing.Candidate;
 
@@ -20,8 +23,10 @@
  * @param relay whether this daemon is selected to watch the platform for its data centre; without meaning if the daemon
  *     reads its configuration from a configuration source
  * @param inFlight the number of requests of callers in flight at this daemon
+ * @param scheduling which decisions this daemon makes by expected work
  * @param members the members of the fleet
  * @param backends the backend servers of the fleet
+ * @param local the calls and the expected work at the backend servers of this host
  * @param shards the shards of which this daemon is the holder or the standby
  */
 public record FleetStatus(
@@ -32,8 +37,10 @@
         int keys,
         boolean relay,
         int inFlight,
+        Scheduling scheduling,
         List<MemberStatus> members,
         List<BackendStatus> backends,
+        List<LocalBackendStatus> local,
         List<ShardStatus> shards) {
 
     /**
@@ -51,12 +58,14 @@
      * @param service the service that it belongs to
      * @param host the name of its host
      * @param id its identifier
+     * @param slots the maximum number of calls that it runs concurrently
      * @param state its state as reported by the daemon on its host, in lower case
      * @param weight its weight in the rotation of this daemon, 0 (receives no calls) to 1
      * @param severity the moving average, at the time of its ejection, of the share of its calls that failed or were slow,
      *     in whole percent, at least 1; 0 while it is not ejected
      */
-    public record BackendStatus(String service, String host, String id, String state, double weight, double severity) {}
+    public record BackendStatus(
+            String service, String host, String id, int slots, String state, double weight, double severity) {}
 
     /**
      * A shard of which this daemon is the holder or the standby.
@@ -74,11 +83,13 @@
      *
      * @param board the blackboard of the daemon
      * @param limits the shard entries and leases of the daemon
+     * @param local the backend servers of its host
      * @param relay whether the daemon is selected to watch the platform for its data centre
      * @param inFlight the number of requests of callers in flight at the daemon
      * @return the status
      */
-    public static FleetStatus of(Blackboard board, LimitController limits, boolean relay, int inFlight) {
+    public static FleetStatus of(
+            Blackboard board, LimitController limits, List<LocalBackend> local, boolean relay, int inFlight) {
         List<MemberStatus> members = board.members().all().stream()
                 .map(m -> new MemberStatus(
                         m.host(), m.dataCentre(), m.state().name().toLowerCase(Locale.ROOT)))
@@ -104,8 +115,13 @@
                 board.keys().size(),
                 relay,
                 inFlight,
+                board.settings().scheduling(),
                 members,
                 backends,
+                local.stream()
+                        .sorted(Comparator.comparing(b -> b.announcement().id()))
+                        .map(b -> LocalBackendStatus.of(b, board))
+                        .toList(),
                 shards);
     }
 
@@ -114,6 +130,7 @@
                 c.server().service(),
                 c.host(),
                 c.server().id(),
+                c.server().slots(),
                 c.server().state().name().toLowerCase(Locale.ROOT),
                 c.weight(),
                 c.server().severity());
--- a/tools/src/main/java/io/fuchsiastand/tools/StatusCommand.java
+++ b/tools/src/main/java/io/fuchsiastand/tools/StatusCommand.java
@@ -11,6 +11,9 @@
 /** Shows the status of the fleet as one daemon sees it. */
 final class StatusCommand extends Command {
 
+    private static final int MAX_KINDS = 10;
+    private static final int PERCENT = 100;
+
     @Option(name = "--daemon", metaVar = "HOST:PORT", usage = "the admin port of a daemon", required = true)
     private String daemonAddress;
 
@@ -50,10 +53,62 @@
             }
         });
         appendBackends(b, s.path("backends"));
+        appendWork(b, s);
         appendShards(b, s);
         return b.toString().stripTrailing();
     }
 
+    private static void appendWork(StringBuilder b, JsonNode s) {
+        JsonNode on = s.path("scheduling");
+        appendLine(
+                b,
+                "scheduling: by_work %s, deadline_order %s, admission %s",
+                onOrOff(on.path("byWork")),
+                onOrOff(on.path("deadlineOrder")),
+                onOrOff(on.path("admission")));
+        s.path("local").forEach(n -> {
+            appendLine(
+                    b,
+                    "%s of this host, service %s: %d calls run in %d slots, %d wait, expected busy time %.0f ms",
+                    n.path("id").asText(),
+                    n.path("service").asText(),
+                    n.path("running").asInt(),
+                    n.path("slots").asInt(),
+                    n.path("waiting").asInt(),
+                    n.path("busyMillis").asDouble());
+            int shown = 0;
+            for (JsonNode k : n.path("kinds")) {
+                if (shown < MAX_KINDS) {
+                    appendKind(b, k);
+                    shown++;
+                }
+            }
+            int more = n.path("kinds").size() - shown;
+            if (more > 0) {
+                appendLine(b, "  and %d kinds of calls that take less time", more);
+            }
+        });
+    }
+
+    private static void appendKind(StringBuilder b, JsonNode k) {
+        long limit = k.path("bodyLimit").asLong();
+        String body = limit == 0
+                ? "without a body"
+                : limit == Long.MAX_VALUE ? "with a body of unknown length" : "with a body below " + limit + " bytes";
+        appendLine(
+                b,
+                "  %s %s: %.0f ms, spread %.0f percent%s",
+                k.path("route").asText(),
+                body,
+                k.path("millis").asDouble(),
+                PERCENT * k.path("spread").asDouble(),
+                k.path("learned").asBoolean() ? "" : ", stated by another daemon");
+    }
+
+    private static String onOrOff(JsonNode flag) {
+        return flag.asBoolean() ? "on" : "off";
+    }
+
     private static void appendShards(StringBuilder b, JsonNode s) {
         String host = s.path("host").asText();
         int held = 0;
