Explain the choice by expected work and the place in a queue

fuchsiactl explain listed backend servers with their weights only, so that it did not tell why a call goes to one of them and why it waits there.

The list of candidates and the limit for large bodies are taken from the code that chooses, which behaves as before.

--- a/core/src/main/java/io/fuchsiastand/routing/ServiceDirectory.java
+++ b/core/src/main/java/io/fuchsiastand/routing/ServiceDirectory.java
@@ -38,6 +38,7 @@
      */
     public static final double MAX_LOCAL_UTILISATION_FOR_LARGE_BODIES = 1.2;
 
+    private static final int LARGE_BODY_BYTES = 16 * 1024;
     private static final int MAX_REMOVED = 1024;
     private static final int CHOICES_BY_WORK = 3;
 
@@ -214,6 +215,34 @@
             double maxLocalUtilisation,
             double costMillis,
             RandomGenerator random) {
+        List<Candidate> from = choices(service, excluded, maxLocalUtilisation);
+        if (from.isEmpty()) {
+            return Optional.empty();
+        }
+        return Optional.of(
+                costMillis > 0 ? pickSoonestOfThree(from, costMillis, random) : pickBetterOfTwo(from, random));
+    }
+
+    /**
+     * Returns the mean utilisation of the usable backend servers of the own data centre at which a call may go to another one.
+     *
+     * @param bodyBytes the length of its body in bytes; {@link Long#MAX_VALUE} if it is unknown
+     * @return the utilisation; 1 if all slots are taken
+     */
+    public static double maxLocalUtilisation(long bodyBytes) {
+        return bodyBytes >= LARGE_BODY_BYTES ? MAX_LOCAL_UTILISATION_FOR_LARGE_BODIES : MAX_LOCAL_UTILISATION;
+    }
+
+    /**
+     * Lists the backend servers among which a call is drawn now.
+     *
+     * @param service the name of the service
+     * @param excluded candidates that were already tried for this call
+     * @param maxLocalUtilisation mean utilisation of the usable backend servers of the own data centre at which the call may go
+     *     to another one
+     * @return the candidates, or an empty list if there is none
+     */
+    public List<Candidate> choices(String service, Set<Candidate> excluded, double maxLocalUtilisation) {
         List<Candidate> all = candidatesByService.getOrDefault(service, List.of());
         List<Candidate> usable =
                 usable(all, c -> !excluded.contains(c) && c.isHostUsable(clock) && !c.isAvoided(clock));
@@ -224,9 +253,6 @@
             // A blocked host may be reachable again, so an attempt is better than a refusal.
             usable = usable(all, c -> !excluded.contains(c));
         }
-        if (usable.isEmpty()) {
-            return Optional.empty();
-        }
         List<Candidate> local = new ArrayList<>(usable.size());
         double load = 0;
         for (Candidate c : usable) {
@@ -236,9 +262,7 @@
             }
         }
         boolean preferLocal = !local.isEmpty() && load / local.size() < maxLocalUtilisation;
-        List<Candidate> from = preferLocal ? local : usable;
-        return Optional.of(
-                costMillis > 0 ? pickSoonestOfThree(from, costMillis, random) : pickBetterOfTwo(from, random));
+        return preferLocal ? local : usable;
     }
 
     /**
--- a/daemon/src/main/java/io/fuchsiastand/daemon/admin/AdminService.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/admin/AdminService.java
@@ -69,17 +69,16 @@
 
     @Override
     public HttpResponse handle(HttpServiceContext context, HttpRequest request, HttpResponseFactory factory) {
-        Response r = request.method().equals(HttpRequestMethod.GET)
-                ? handleGet(request.path())
-                : handleCommand(context, request);
+        Response r =
+                request.method().equals(HttpRequestMethod.GET) ? handleGet(request) : handleCommand(context, request);
         return factory.newResponse(r.status())
                 .payloadBody(context.executionContext().bufferAllocator().wrap(r.body()))
                 .setHeader("content-type", r.mediaType());
     }
 
-    private Response handleGet(String path) {
+    private Response handleGet(HttpRequest request) {
         boolean ready = board.lifecycle().get() == Lifecycle.READY;
-        return switch (path) {
+        return switch (request.path()) {
             case "/healthz" -> Response.text(HttpResponseStatus.OK, "alive");
             case "/readyz", "/ready" ->
                 Response.text(
@@ -87,10 +86,31 @@
                         board.lifecycle().get().name());
             case "/metrics" -> Response.text(HttpResponseStatus.OK, metrics.scrape());
             case "/status" -> new Response(HttpResponseStatus.OK, JSON, Json.write(status.get()));
+            case "/explain" -> explain(request);
             default -> Response.text(HttpResponseStatus.NOT_FOUND, "no such path");
         };
     }
 
+    private Response explain(HttpRequest request) {
+        try {
+            CallExplanation.Query q = new CallExplanation.Query(
+                    queryOf(request, "host"),
+                    queryOf(request, "path"),
+                    queryOf(request, "team"),
+                    HeaderNames.parseLong(request.queryParameter("body"), 0));
+            return CallExplanation.of(board, backends.all(), q)
+                    .map(e -> new Response(HttpResponseStatus.OK, JSON, Json.write(e)))
+                    .orElseGet(() -> Response.text(HttpResponseStatus.NOT_FOUND, "no route matches"));
+        } catch (FuchsiastandException e) {
+            return Response.text(HttpResponseStatus.BAD_REQUEST, e.getMessage());
+        }
+    }
+
+    private static String queryOf(HttpRequest request, String name) {
+        String value = request.queryParameter(name);
+        return value == null ? "" : value;
+    }
+
     private Response handleCommand(HttpServiceContext context, HttpRequest request) {
         String path = request.path();
         if (path.startsWith(WITHDRAWN)) {
--- a/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/CallAttempts.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/CallAttempts.java
@@ -28,7 +28,6 @@
     private static final int MAX_QUEUES_ASKED = 3;
 
     private static final long NANOS_PER_MILLI = 1_000_000;
-    private static final int LARGE_BODY_BYTES = 16 * 1024;
 
     final RoutedRequest routed;
     final String service;
@@ -153,10 +152,7 @@
 
     // Mean utilisation of the backend servers of the own data centre at which the call may go to another one.
     double maxLocalUtilisation() {
-        boolean isLarge = body == null || body.readableBytes() >= LARGE_BODY_BYTES;
-        return isLarge
-                ? ServiceDirectory.MAX_LOCAL_UTILISATION_FOR_LARGE_BODIES
-                : ServiceDirectory.MAX_LOCAL_UTILISATION;
+        return ServiceDirectory.maxLocalUtilisation(body == null ? Long.MAX_VALUE : body.readableBytes());
     }
 
     // Only a call that can be sent again if it fails serves as a trial call, and only at its first attempt.
--- a/daemon/src/main/java/io/fuchsiastand/daemon/owner/SlotAdmission.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/owner/SlotAdmission.java
@@ -27,10 +27,13 @@
 /** Waits for slots of backend servers on behalf of calls, and turns the refusals of queues into answers to callers. */
 public final class SlotAdmission {
 
+    /**
+     * Maximum share of its remaining time that a call waits for a slot while it can be sent elsewhere. The rest is left for an
+     * attempt at another backend server or for a retry by the caller.
+     */
+    public static final double MAX_QUEUE_WAIT_SHARE = 0.25;
+
     private static final long NANOS_PER_MILLI = 1_000_000;
-    // Maximum share of its remaining time that a call waits for a slot while it can be sent elsewhere. The rest is left
-    // for an attempt at another backend server or for a retry by the caller.
-    private static final double MAX_QUEUE_WAIT_SHARE = 0.25;
 
     private final Clock clock;
     private final HeaderConventions conventions;
--- a/tools/src/main/java/io/fuchsiastand/tools/ExplainCommand.java
+++ b/tools/src/main/java/io/fuchsiastand/tools/ExplainCommand.java
@@ -3,6 +3,8 @@
 import java.io.PrintStream;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
+import java.util.Map;
 import java.util.Optional;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -33,9 +35,19 @@
     @Option(name = "--key", usage = "the team key of the request")
     private String key;
 
-    @Option(name = "--daemon", metaVar = "HOST:PORT", usage = "the admin port of a daemon, to list the backend servers")
+    @Option(
+            name = "--daemon",
+            metaVar = "HOST:PORT",
+            usage = "the admin port of a daemon, to list the backend servers and how one would be chosen there")
     private String daemonAddress;
 
+    @Option(
+            name = "--body-bytes",
+            metaVar = "N",
+            usage =
+                    "the length of the body of the request; with --daemon, its work is estimated for bodies of about this length")
+    private long bodyBytes;
+
     /**
      * An explanation.
      *
@@ -68,6 +80,7 @@
             return ErrorCode.NO_ROUTE;
         }
         RouteMatch m = found.get();
+        String team = "";
         boolean idempotent = m.route().idempotency().isIdempotent(method);
         steps.add("route " + m.route().host() + m.route().path() + " to service "
                 + m.service().name()
@@ -88,7 +101,7 @@
                                 : "the key was withdrawn at " + entry.get().withdrawn());
                 return ErrorCode.UNKNOWN_KEY;
             }
-            String team = entry.get().team();
+            team = entry.get().team();
             steps.add("key " + entry.get().id() + " of team " + team);
             Optional<Allowance> a = c.allowance(team, m.service().name());
             if (a.isEmpty()) {
@@ -97,10 +110,10 @@
             steps.add("plan " + c.teams().get(team).plan() + " allows "
                     + a.get().rate() + " a second, burst " + a.get().burst());
         }
-        return explainBackends(m.service().name(), steps);
+        return explainBackends(m.service().name(), team, steps);
     }
 
-    private ErrorCode explainBackends(String service, List<String> steps) {
+    private ErrorCode explainBackends(String service, String team, List<String> steps) {
         if (daemonAddress == null) {
             return null;
         }
@@ -113,6 +126,51 @@
                         + n.path("weight").asDouble());
             }
         }
-        return inRotation == 0 ? ErrorCode.NO_BACKEND : null;
+        if (inRotation == 0) {
+            return ErrorCode.NO_BACKEND;
+        }
+        Map<String, String> query = Map.of("host", host, "path", path, "team", team, "body", Long.toString(bodyBytes));
+        DaemonClient.explain(daemonAddress, query)
+                .ifPresent(e -> e.path("services").forEach(s -> explainChoice(e, s, steps)));
+        return null;
+    }
+
+    private static void explainChoice(JsonNode explanation, JsonNode service, List<String> steps) {
+        double cost = service.path("costMillis").asDouble();
+        if (cost > 0) {
+            steps.add(String.format(
+                    Locale.ROOT,
+                    "chosen by expected work: such a call usually holds a slot for %.0f ms, and the soonest expected end of"
+                            + " three random backend servers is chosen",
+                    cost));
+        } else {
+            steps.add(
+                    "chosen by the number of calls and their latency: the lower score of two random backend servers, since "
+                            + (explanation.path("byWork").asBoolean()
+                                    ? "no cost of such calls is known yet"
+                                    : "by_work is off"));
+        }
+        for (JsonNode c : service.path("candidates")) {
+            if (c.path("drawn").asBoolean()) {
+                steps.add(String.format(
+                        Locale.ROOT,
+                        cost > 0
+                                ? "may be chosen: %s on %s, expected end after %.0f ms"
+                                : "may be chosen: %s on %s, score %.2f",
+                        c.path("id").asText(),
+                        c.path("host").asText(),
+                        c.path(cost > 0 ? "finishMillis" : "score").asDouble()));
+            }
+        }
+        for (JsonNode q : service.path("queues")) {
+            String refusal = q.path("refusal").asText();
+            steps.add(String.format(
+                    Locale.ROOT,
+                    "queue of %s on the host of this daemon: %d calls before it, slot after %.0f ms%s",
+                    q.path("id").asText(),
+                    q.path("before").asInt(),
+                    q.path("waitMillis").asDouble(),
+                    refusal.isEmpty() ? "" : ", refused there with " + refusal));
+        }
     }
 }
--- a/tools/src/test/java/io/fuchsiastand/tools/FuchsiactlTest.java
+++ b/tools/src/test/java/io/fuchsiastand/tools/FuchsiactlTest.java
@@ -132,6 +132,29 @@
         assertThat(out()).contains("FS-4010");
     }
 
+    @Test
+    void explainsHowADaemonWouldChooseABackendServerAndWhereTheCallWouldStand() throws Exception {
+        write("plans.toml", PLANS.replace("path = \"/menu\"", "path = \"/menu\"\nopen = true"));
+        runWithFiles("apply");
+        String backends =
+                "{\"backends\":[{\"service\":\"menu\",\"id\":\"m1\",\"host\":\"h1\",\"state\":\"serving\",\"weight\":1}]}";
+        String choice =
+                """
+                {"byWork":true,"services":[{"service":"menu","costMillis":200,
+                 "candidates":[{"id":"m1","host":"h1","drawn":true,"finishMillis":512.4},{"id":"m2","host":"h2"}],
+                 "queues":[{"id":"m1","before":2,"waitMillis":310,"refusal":"FS-5031"}]}]}
+                """;
+        try (DaemonStandin daemon =
+                new DaemonStandin().answer("/status", backends).answer("/explain", choice)) {
+            run("explain", "GET", "/menu/a b", "--platform", address(), "--daemon", daemon.address());
+            assertThat(daemon.requests.get(1).getRawQuery()).contains("path=%2Fmenu%2Fa%20b");
+        }
+        assertThat(out()).contains("such a call usually holds a slot for 200 ms");
+        assertThat(out()).contains("may be chosen: m1 on h1, expected end after 512 ms");
+        assertThat(out()).doesNotContain("m2");
+        assertThat(out()).contains("2 calls before it, slot after 310 ms, refused there with FS-5031");
+    }
+
     // One key ID in 64 begins with a hyphen, like an option.
     @Test
     void withdrawsAKeyWhoseIdBeginsWithAHyphen() {
