Tag the gauges of expected work with the service

A host with backend servers of several services showed only the largest value of all, so that an alarm on the target latency of one service fired for another.

fuchsiastand_expected_busy_ms and fuchsiastand_expected_work_error now have a value for each service of the host, renewed at each scrape. The test of a running daemon reads the tagged gauge.

--- a/daemon/src/main/java/io/fuchsiastand/daemon/Daemon.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/Daemon.java
@@ -289,8 +289,8 @@
         metrics.registerGauge("fuchsiastand_unfinished_bytes", transport.buffer()::heldBytes);
         metrics.registerCounter("fuchsiastand_connections_dropped", transport.buffer()::drops);
         metrics.registerGauge("fuchsiastand_members", board::fleetSize);
-        metrics.registerGauge("fuchsiastand_expected_busy_ms", backends::expectedBusyMillis);
-        metrics.registerGauge("fuchsiastand_expected_work_error", backends::expectedWorkError);
+        metrics.registerGaugeByService("fuchsiastand_expected_busy_ms", backends::expectedBusyMillis);
+        metrics.registerGaugeByService("fuchsiastand_expected_work_error", backends::expectedWorkError);
         metrics.registerGauge(
                 "fuchsiastand_configuration_version",
                 () -> board.configuration().get().configuration().version());
--- a/daemon/src/main/java/io/fuchsiastand/daemon/metrics/Metrics.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/metrics/Metrics.java
@@ -10,6 +10,8 @@
 import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.FunctionCounter;
 import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.MultiGauge;
+import io.micrometer.core.instrument.Tags;
 import io.micrometer.core.instrument.Timer;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
@@ -42,6 +44,7 @@
     private final Map<QueueTags, Counter> queueRefusals = new ConcurrentHashMap<>();
     private final Map<Integer, Timer> queueWaits = new ConcurrentHashMap<>();
     private final Map<PeerTags, Counter> peerBytes = new ConcurrentHashMap<>();
+    private final Map<MultiGauge, Supplier<Map<String, Double>>> gaugesByService = new ConcurrentHashMap<>();
     private final Counter retries = registry.counter("fuchsiastand_retries");
     private final Counter retriesOverBudget = registry.counter("fuchsiastand_retries_over_budget");
     private final Set<String> teams = ConcurrentHashMap.newKeySet();
@@ -166,6 +169,16 @@
         Gauge.builder(name, value).register(registry);
     }
 
+    /**
+     * Registers a gauge with a value for each service. The services may change.
+     *
+     * @param name the name of the gauge
+     * @param values supplies the values by the name of the service
+     */
+    public void registerGaugeByService(String name, Supplier<Map<String, Double>> values) {
+        gaugesByService.put(MultiGauge.builder(name).register(registry), values);
+    }
+
     /**
      * Registers a counter that is kept elsewhere.
      *
@@ -182,6 +195,11 @@
      * @return the values in the text format of Prometheus
      */
     public String scrape() {
+        gaugesByService.forEach((gauge, values) -> gauge.register(
+                values.get().entrySet().stream()
+                        .map(e -> MultiGauge.Row.of(Tags.of("service", e.getKey()), e.getValue()))
+                        .toList(),
+                true));
         return registry.scrape();
     }
 
--- a/daemon/src/main/java/io/fuchsiastand/daemon/owner/BackendController.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/owner/BackendController.java
@@ -8,6 +8,8 @@
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Predicate;
+import java.util.function.ToDoubleFunction;
+import java.util.stream.Collectors;
 
 import io.fuchsiastand.config.Detection;
 import io.fuchsiastand.config.Json;
@@ -303,27 +305,27 @@
     }
 
     /**
-     * Returns the time for which the slots of the busiest backend server of this host are expected to be busy.
+     * Returns the time for which the slots of the busiest backend server of each service on this host are expected to be busy.
      *
-     * @return milliseconds
+     * @return milliseconds by service
      */
-    public double expectedBusyMillis() {
-        return backends.values().stream()
-                .mapToDouble(LocalBackend::busyMillis)
-                .max()
-                .orElse(0);
+    public Map<String, Double> expectedBusyMillis() {
+        return maxByService(LocalBackend::busyMillis);
     }
 
     /**
-     * Returns the largest mean relative error of the work that was expected of calls to a backend server of this host.
+     * Returns the largest mean relative error of the work that was expected of calls to a backend server of each service on this
+     * host.
      *
-     * @return the error as a share of the expected work
+     * @return the error by service, as a share of the expected work
      */
-    public double expectedWorkError() {
+    public Map<String, Double> expectedWorkError() {
+        return maxByService(b -> b.work().estimates().relativeError());
+    }
+
+    private Map<String, Double> maxByService(ToDoubleFunction<LocalBackend> value) {
         return backends.values().stream()
-                .mapToDouble(b -> b.work().estimates().relativeError())
-                .max()
-                .orElse(0);
+                .collect(Collectors.toMap(b -> b.announcement().service(), value::applyAsDouble, Math::max));
     }
 
     /** Updates the health of all backend servers, removes expired ones and publishes changes. Called periodically. */
--- a/daemon/src/test/java/io/fuchsiastand/daemon/WorkStatusTest.java
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/WorkStatusTest.java
@@ -51,6 +51,7 @@
             assertThat(position.path("before").asInt()).isEqualTo(1);
             assertThat(position.path("waitMillis").asDouble()).isGreaterThan(0);
 
+            assertThat(get(fleet, "/metrics")).containsMatch("fuchsiastand_expected_busy_ms\\{service=\"menu\"} [1-9]");
             running.join();
             waiting.join();
         }
@@ -65,15 +66,16 @@
     }
 
     private static JsonNode admin(Fleet fleet, String pathAndQuery) {
+        return Json.read(get(fleet, pathAndQuery).getBytes(UTF_8), JsonNode.class);
+    }
+
+    private static String get(Fleet fleet, String pathAndQuery) {
         int port = fleet.settings.get(0).ports().admin();
         HttpRequest r = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + pathAndQuery))
                 .build();
-        return Json.read(
-                fleet.client
-                        .sendAsync(r, HttpResponse.BodyHandlers.ofString())
-                        .join()
-                        .body()
-                        .getBytes(UTF_8),
-                JsonNode.class);
+        return fleet.client
+                .sendAsync(r, HttpResponse.BodyHandlers.ofString())
+                .join()
+                .body();
     }
 }
