Share the options for the files and the platform among commands

The options are fields of ConfigurationFiles and PlatformOption, which commands name as groups of options; PlatformOption returns an empty result without an address. Behaviour is unchanged, and the tests of the commands pass.

--- a/tools/src/main/java/io/fuchsiastand/tools/ApplyCommand.java
+++ b/tools/src/main/java/io/fuchsiastand/tools/ApplyCommand.java
@@ -1,7 +1,6 @@
 package io.fuchsiastand.tools;
 
 import java.io.PrintStream;
-import java.nio.file.Path;
 import java.util.List;
 
 import io.fuchsiastand.config.Configuration;
@@ -15,19 +14,7 @@
 
     private static final int ANY_VERSION = -1;
 
-    @Option(
-            name = "--teams",
-            metaVar = "FILE",
-            usage = "the teams file: the teams and the plan of each",
-            required = true)
-    private Path teamsFile;
-
-    @Option(
-            name = "--plans",
-            metaVar = "FILE",
-            usage = "the plans file: the services and what each plan may use of them",
-            required = true)
-    private Path plansFile;
+    private final ConfigurationFiles files = new ConfigurationFiles();
 
     @Option(name = "--expect", metaVar = "VERSION", usage = "the version that the files were edited from")
     private long expectedVersion = ANY_VERSION;
@@ -40,6 +27,11 @@
      */
     record Result(long version, List<String> changes) {}
 
+    @Override
+    List<Object> optionGroups() {
+        return List.of(platform(), files);
+    }
+
     @Override
     String summary() {
         return "put the teams file and the plans file in force as the new configuration";
@@ -47,7 +39,7 @@
 
     @Override
     void run(ObjectStore store, PrintStream out) {
-        Configuration next = ConfigurationFiles.read(teamsFile, plansFile);
+        Configuration next = files.read();
         ConfigurationStore configurations = new ConfigurationStore(store);
         ConfigurationStore.Current current = configurations.read();
         List<String> changes = ConfigurationDiff.lines(current.configuration(), next);
--- a/tools/src/main/java/io/fuchsiastand/tools/CheckCommand.java
+++ b/tools/src/main/java/io/fuchsiastand/tools/CheckCommand.java
@@ -1,33 +1,22 @@
 package io.fuchsiastand.tools;
 
 import java.io.PrintStream;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 
+import io.fuchsiastand.config.Configuration;
 import io.fuchsiastand.config.ConfigurationAdvice;
 import io.fuchsiastand.config.ConfigurationReader;
 import io.fuchsiastand.config.Problem;
 import io.fuchsiastand.config.TomlFile;
-import io.fuchsiastand.store.ObjectStore;
 import org.kohsuke.args4j.Option;
 
 /** Checks the teams file and the plans file before they are applied, and shows what differs from the version in force. */
-final class CheckCommand extends PlatformCommand {
+final class CheckCommand extends Command {
 
-    @Option(
-            name = "--teams",
-            metaVar = "FILE",
-            usage = "the teams file: the teams and the plan of each",
-            required = true)
-    private Path teamsFile;
-
-    @Option(
-            name = "--plans",
-            metaVar = "FILE",
-            usage = "the plans file: the services and what each plan may use of them",
-            required = true)
-    private Path plansFile;
+    private final ConfigurationFiles files = new ConfigurationFiles();
+    private final PlatformOption platform = new PlatformOption();
 
     @Option(name = "--strict", usage = "exit with 2 if there are warnings")
     private boolean strict;
@@ -44,8 +33,9 @@
      */
     record Report(List<Problem> errors, List<Problem> warnings, long comparedWith, List<String> changes) {}
 
-    CheckCommand() {
-        super(false);
+    @Override
+    List<Object> optionGroups() {
+        return List.of(files, platform);
     }
 
     @Override
@@ -54,18 +44,19 @@
     }
 
     @Override
-    void run(ObjectStore store, PrintStream out) {
-        TomlFile teams = ConfigurationFiles.open(teamsFile);
-        TomlFile plans = ConfigurationFiles.open(plansFile);
+    void run(PrintStream out) {
+        TomlFile teams = files.teams();
+        TomlFile plans = files.plans();
         ConfigurationReader.Result r = ConfigurationReader.read(teams, plans);
         boolean valid = r.problems().isEmpty();
         List<Problem> warnings = valid ? ConfigurationAdvice.warnings(r.configuration(), teams, plans) : List.of();
         long version = 0;
         List<String> changes = List.of();
-        if (valid && store != null) {
-            ConfigurationStore.Current current = new ConfigurationStore(store).read();
-            version = current.index().version();
-            changes = ConfigurationEffects.lines(current.configuration(), r.configuration());
+        Optional<Configuration> current =
+                valid ? platform.map(s -> new ConfigurationStore(s).read().configuration()) : Optional.empty();
+        if (current.isPresent()) {
+            version = current.get().version();
+            changes = ConfigurationEffects.lines(current.get(), r.configuration());
         }
         report = new Report(r.problems(), warnings, version, changes);
         print(out, report, text(report));
--- a/tools/src/main/java/io/fuchsiastand/tools/Command.java
+++ b/tools/src/main/java/io/fuchsiastand/tools/Command.java
@@ -1,6 +1,7 @@
 package io.fuchsiastand.tools;
 
 import java.io.PrintStream;
+import java.util.List;
 
 import io.fuchsiastand.config.Json;
 import org.kohsuke.args4j.Option;
@@ -29,6 +30,15 @@
      */
     abstract String summary();
 
+    /**
+     * Returns objects with options that the command shares with others.
+     *
+     * @return the objects, whose fields args4j sets as those of the command
+     */
+    List<Object> optionGroups() {
+        return List.of();
+    }
+
     /**
      * Executes the command.
      *
--- a/tools/src/main/java/io/fuchsiastand/tools/ConfigurationFiles.java
+++ b/tools/src/main/java/io/fuchsiastand/tools/ConfigurationFiles.java
@@ -11,23 +11,34 @@
 import io.fuchsiastand.config.TomlFile;
 import io.fuchsiastand.error.ErrorCode;
 import io.fuchsiastand.error.FuchsiastandException;
+import org.kohsuke.args4j.Option;
 
-/** Reads a configuration from the teams file and the plans file. */
+/** The options for the teams file and the plans file, and the configuration in them. */
 final class ConfigurationFiles {
 
-    private ConfigurationFiles() {}
+    @Option(
+            name = "--teams",
+            metaVar = "FILE",
+            usage = "the teams file: the teams and the plan of each",
+            required = true)
+    private Path teamsFile;
+
+    @Option(
+            name = "--plans",
+            metaVar = "FILE",
+            usage = "the plans file: the services and what each plan may use of them",
+            required = true)
+    private Path plansFile;
 
     /**
      * Reads and checks the two files.
      *
-     * @param teamsFile the file that lists the teams and their plans
-     * @param plansFile the file that lists the services and what each plan may use of them
      * @return the configuration, with version 0
      * @throws FuchsiastandException with {@link ErrorCode#CONFIGURATION} that lists all problems, or if a file
      *     cannot be read
      */
-    static Configuration read(Path teamsFile, Path plansFile) {
-        ConfigurationReader.Result r = ConfigurationReader.read(open(teamsFile), open(plansFile));
+    Configuration read() {
+        ConfigurationReader.Result r = ConfigurationReader.read(teams(), plans());
         if (!r.problems().isEmpty()) {
             throw new FuchsiastandException(
                     ErrorCode.CONFIGURATION,
@@ -37,13 +48,25 @@
     }
 
     /**
-     * Parses a file.
+     * Parses the teams file.
      *
-     * @param file the file
      * @return its content, with a problem if it is not valid TOML
      * @throws FuchsiastandException with {@link ErrorCode#CONFIGURATION} if it cannot be read
      */
-    static TomlFile open(Path file) {
+    TomlFile teams() {
+        return open(teamsFile);
+    }
+
+    /**
+     * Parses the plans file, as {@link #teams} does.
+     *
+     * @return its content
+     */
+    TomlFile plans() {
+        return open(plansFile);
+    }
+
+    private static TomlFile open(Path file) {
         try {
             return new TomlFile(file.toString(), Files.readString(file));
         } catch (IOException e) {
--- a/tools/src/main/java/io/fuchsiastand/tools/Fuchsiactl.java
+++ b/tools/src/main/java/io/fuchsiastand/tools/Fuchsiactl.java
@@ -9,6 +9,7 @@
 import io.fuchsiastand.error.ErrorCode;
 import io.fuchsiastand.error.FuchsiastandException;
 import io.fuchsiastand.key.KeyEntry;
+import org.kohsuke.args4j.ClassParser;
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
 
@@ -79,6 +80,7 @@
         }
         Command command = constructor.get();
         CmdLineParser parser = new KeyIdAwareParser(command);
+        command.optionGroups().forEach(g -> new ClassParser().parse(g, parser));
         try {
             parser.parseArgument(Arrays.copyOfRange(args, hasTwoWords ? 2 : 1, args.length));
         } catch (CmdLineException e) {
--- a/tools/src/main/java/io/fuchsiastand/tools/ValidateCommand.java
+++ b/tools/src/main/java/io/fuchsiastand/tools/ValidateCommand.java
@@ -1,27 +1,19 @@
 package io.fuchsiastand.tools;
 
 import java.io.PrintStream;
-import java.nio.file.Path;
+import java.util.List;
 
 import io.fuchsiastand.config.Configuration;
-import org.kohsuke.args4j.Option;
 
 /** Checks the teams file and the plans file without writing to the platform. */
 final class ValidateCommand extends Command {
 
-    @Option(
-            name = "--teams",
-            metaVar = "FILE",
-            usage = "the teams file: the teams and the plan of each",
-            required = true)
-    private Path teamsFile;
+    private final ConfigurationFiles files = new ConfigurationFiles();
 
-    @Option(
-            name = "--plans",
-            metaVar = "FILE",
-            usage = "the plans file: the services and what each plan may use of them",
-            required = true)
-    private Path plansFile;
+    @Override
+    List<Object> optionGroups() {
+        return List.of(files);
+    }
 
     @Override
     String summary() {
@@ -30,7 +22,7 @@
 
     @Override
     void run(PrintStream out) {
-        Configuration c = ConfigurationFiles.read(teamsFile, plansFile);
+        Configuration c = files.read();
         print(
                 out,
                 c,
