Read responses ahead of slow readers

Callers that read slowly got a response that ends early: the daemon read it from the backend server only as the caller took it, and a backend server cuts off a response that stays unread for seconds. The slot stayed taken all the while, and a complete response was cut at its deadline.

Owner and ingress daemon now read a response ahead into the buffer that the connections of the host share. The threshold is dynamic: a response may hold as much as is left free, so that one slow reader takes half of the room and no response is dropped for another. The slot is free when the response has ended.

--- a/core/src/main/java/io/fuchsiastand/memory/SharedBuffer.java
+++ b/core/src/main/java/io/fuchsiastand/memory/SharedBuffer.java
@@ -79,6 +79,24 @@
             victims.forEach(v -> v.drop.run());
             return !victims.contains(this);
         }
+
+        /**
+         * Lets the connection hold more if no more than what stays free after it (dynamic threshold). Drops no connection, and
+         * leaves as much to one that holds nothing yet as the largest one has got in this way.
+         *
+         * @param newBytes the size in bytes
+         * @return true if the connection holds it now
+         */
+        public boolean tryHold(long newBytes) {
+            synchronized (SharedBuffer.this) {
+                long free = capacityBytes - closingBytes - (heldBytes - bytes + newBytes);
+                if (dropped || newBytes > free) {
+                    return false;
+                }
+                set(this, newBytes);
+                return true;
+            }
+        }
     }
 
     /**
--- a/daemon/src/main/java/io/fuchsiastand/daemon/Daemon.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/Daemon.java
@@ -275,7 +275,7 @@
                         admission,
                         transport.timer(),
                         RandomGenerator.getDefault()),
-                transport.timer());
+                transport);
     }
 
     private void startControllers() {
@@ -287,6 +287,8 @@
         tokenIssuers.start();
         metrics.registerGauge("fuchsiastand_in_flight", callerService::inFlight);
         metrics.registerGauge("fuchsiastand_unfinished_bytes", transport.buffer()::heldBytes);
+        metrics.registerGauge("fuchsiastand_unread_bytes", transport.readAhead()::unreadBytes);
+        metrics.registerCounter("fuchsiastand_responses_unread", transport.readAhead()::stalls);
         metrics.registerCounter("fuchsiastand_connections_dropped", transport.buffer()::drops);
         metrics.registerGauge("fuchsiastand_members", board::fleetSize);
         metrics.registerGauge("fuchsiastand_expected_busy_ms", backends::expectedBusyMillis);
--- a/daemon/src/main/java/io/fuchsiastand/daemon/board/MemoryLimits.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/board/MemoryLimits.java
@@ -1,5 +1,7 @@
 package io.fuchsiastand.daemon.board;
 
+import java.time.Duration;
+
 import com.fasterxml.jackson.databind.JsonNode;
 import io.fuchsiastand.config.TomlFile;
 import io.fuchsiastand.http.MessageLimits;
@@ -9,22 +11,29 @@
  *
  * @param headerFields the maximum number of lines in a header or trailer section
  * @param unfinishedBytes what all messages that are not complete, and all bodies that are kept, may take together, in bytes
+ * @param maxUnread the time after which a response of which the caller takes nothing is ended
  */
-public record MemoryLimits(int headerFields, long unfinishedBytes) {
+public record MemoryLimits(int headerFields, long unfinishedBytes, Duration maxUnread) {
 
     private static final int HEAP_DIVISOR = 8;
     private static final int MAX_HEADER_FIELDS = 1_000_000;
     private static final int MAX_MEGABYTES = 65_536;
+    private static final int DEFAULT_UNREAD_SECONDS = 300;
+    private static final int MAX_UNREAD_SECONDS = 86_400;
     private static final String TABLE = "limits";
 
     /** The limits that apply when the settings have none. */
     public static final MemoryLimits DEFAULT = new MemoryLimits(
-            MessageLimits.DEFAULT_SECTION_LINES, Runtime.getRuntime().maxMemory() / HEAP_DIVISOR);
+            MessageLimits.DEFAULT_SECTION_LINES,
+            Runtime.getRuntime().maxMemory() / HEAP_DIVISOR,
+            Duration.ofSeconds(DEFAULT_UNREAD_SECONDS));
 
     static MemoryLimits read(TomlFile f, JsonNode t) {
         long megabytes = Settings.integer(f, TABLE, t, "most_unfinished_mb", 0, 0, MAX_MEGABYTES);
         return new MemoryLimits(
                 Settings.integer(f, TABLE, t, "most_header_fields", DEFAULT.headerFields(), 1, MAX_HEADER_FIELDS),
-                megabytes == 0 ? DEFAULT.unfinishedBytes() : megabytes << 20);
+                megabytes == 0 ? DEFAULT.unfinishedBytes() : megabytes << 20,
+                Duration.ofSeconds(Settings.integer(
+                        f, TABLE, t, "longest_unread_s", DEFAULT_UNREAD_SECONDS, 1, MAX_UNREAD_SECONDS)));
     }
 }
--- a/daemon/src/main/java/io/fuchsiastand/daemon/board/Settings.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/board/Settings.java
@@ -199,7 +199,8 @@
                         "keys_stale",
                         "most_in_flight",
                         "most_header_fields",
-                        "most_unfinished_mb")));
+                        "most_unfinished_mb",
+                        "longest_unread_s")));
         JsonNode log = f.table("", root, "log");
         f.checkKeys("log", log, Set.of("access"));
         return new Settings(
--- a/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/Dispatcher.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/Dispatcher.java
@@ -19,6 +19,7 @@
 import io.fuchsiastand.daemon.http.Peers;
 import io.fuchsiastand.daemon.http.RefusalException;
 import io.fuchsiastand.daemon.http.RequestCheck;
+import io.fuchsiastand.daemon.http.ResponseReadAhead;
 import io.fuchsiastand.daemon.http.Transport;
 import io.fuchsiastand.daemon.metrics.Metrics;
 import io.fuchsiastand.daemon.metrics.RequestLog;
@@ -81,6 +82,7 @@
     private final RequestLog log;
     private final AnswerCheck answerCheck;
     private final Executor timer;
+    private final ResponseReadAhead readAhead;
     private final BodyBudget bodyBudget;
     private final RetryBudgets budgets;
     private final WorkReports work;
@@ -98,7 +100,7 @@
      * @param conventions the names of the headers that callers and backend servers use
      * @param log the log of decisions about requests
      * @param budgets the retry budgets by service
-     * @param transport has the timer for requests to other daemons, and the memory for bodies that are kept
+     * @param transport has the timer for requests to other daemons, the memory for bodies that are kept, and the read-ahead
      */
     public Dispatcher(
             Blackboard board,
@@ -112,6 +114,7 @@
         bodyBudget = new BodyBudget(Runtime.getRuntime().maxMemory() / KEPT_BODIES_HEAP_DIVISOR, transport.buffer());
         this.budgets = budgets;
         timer = transport.timer();
+        readAhead = transport.readAhead();
         this.log = log;
         this.conventions = conventions;
         answerCheck = new AnswerCheck(conventions, log);
@@ -273,7 +276,9 @@
         return peers.dataClient(m)
                 .request(request)
                 .timeout(timeUntilDeadline(a).plus(REPORT_TIME), timer)
-                .flatMap(r -> answerCheck.check(idOf(a), c.host(), r));
+                .flatMap(r -> answerCheck.check(idOf(a), c.host(), r))
+                .map(r -> readAhead.apply(r.transformMessageBody(
+                        b -> b.timeoutTerminal(timeUntilDeadline(a).plus(REPORT_TIME), timer))));
     }
 
     private Single<StreamingHttpResponse> onError(CallAttempts a, Attempt attempt, Throwable e) {
@@ -401,8 +406,7 @@
             h.set(HeaderNames.RUN_STATE, runState);
         }
         metrics.recordCall(a.routed.team(), a.service, board.clock().nanoTime() - a.startNanos);
-        Duration timeout = timeUntilDeadline(a).plus(REPORT_TIME);
-        return succeeded(r.transformMessageBody(b -> b.timeoutTerminal(timeout, timer)));
+        return succeeded(r);
     }
 
     private void recordEnd(CallAttempts a, Attempt attempt, HttpHeaders h, boolean failed) {
--- a/daemon/src/main/java/io/fuchsiastand/daemon/http/Transport.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/http/Transport.java
@@ -101,6 +101,7 @@
     private final Optional<Settings.Tls> tls;
     private final int maxHeaderFields;
     private final SharedBuffer buffer;
+    private final ResponseReadAhead readAhead;
 
     /**
      * Creates the transport of a daemon with the default limits.
@@ -126,6 +127,7 @@
         eventLoops = EventLoopAwareNettyIoExecutors.toEventLoopAwareNettyIoExecutor(ioExecutor)
                 .eventLoopGroup();
         epoll = eventLoops instanceof EpollEventLoopGroup;
+        readAhead = new ResponseReadAhead(buffer, ioExecutor, limits.maxUnread());
     }
 
     /**
@@ -305,6 +307,15 @@
         return buffer;
     }
 
+    /**
+     * Returns the read-ahead of responses.
+     *
+     * @return what reads responses ahead of slow readers
+     */
+    public ResponseReadAhead readAhead() {
+        return readAhead;
+    }
+
     /**
      * Returns the timer for calls, which runs on the I/O threads.
      *
--- a/daemon/src/main/java/io/fuchsiastand/daemon/owner/OwnerService.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/owner/OwnerService.java
@@ -18,6 +18,8 @@
 import io.fuchsiastand.daemon.http.RefusalException;
 import io.fuchsiastand.daemon.http.RequestBodyDrain;
 import io.fuchsiastand.daemon.http.RequestCheck;
+import io.fuchsiastand.daemon.http.ResponseReadAhead;
+import io.fuchsiastand.daemon.http.Transport;
 import io.fuchsiastand.daemon.metrics.RequestLog;
 import io.fuchsiastand.error.ErrorCode;
 import io.fuchsiastand.health.Outcome;
@@ -62,6 +64,7 @@
     private final HeaderConventions conventions;
     private final RequestLog log;
     private final Executor timer;
+    private final ResponseReadAhead readAhead;
     private final SlotAdmission slots;
     private final AtomicInteger inFlight = new AtomicInteger();
 
@@ -75,7 +78,7 @@
      * @param conventions the names of the headers that backend servers use
      * @param log the log of decisions about requests
      * @param slots lets calls wait for a slot of their backend server
-     * @param timer runs the timeouts of calls
+     * @param transport has the timer for calls, and reads responses ahead of slow readers
      */
     public OwnerService(
             Function<String, Optional<LocalBackend>> backends,
@@ -85,8 +88,9 @@
             HeaderConventions conventions,
             RequestLog log,
             SlotAdmission slots,
-            Executor timer) {
-        this.timer = timer;
+            Transport transport) {
+        timer = transport.timer();
+        readAhead = transport.readAhead();
         this.slots = slots;
         this.log = log;
         this.backends = backends;
@@ -426,7 +430,7 @@
             h.set(HeaderNames.RUN_STATE, HeaderNames.NOT_RUN);
         }
         Duration left = Duration.ofNanos(Math.max(1, call.deadline() - clock.nanoTime()));
-        return r.transformMessageBody(body -> body.timeoutTerminal(left)
+        return readAhead.apply(r.transformMessageBody(body -> body.timeoutTerminal(left)
                 .beforeOnComplete(() -> {
                     use.responseReceived();
                     c.end(outcome);
@@ -438,7 +442,7 @@
                 .beforeCancel(() -> {
                     use.close();
                     c.end(Outcome.CANCELLED);
-                }));
+                })));
     }
 
     // A response that turns a call away names a limit, but the lack of one there does not withdraw it.
