Compare maps by name in one place

ConfigurationDiff and ConfigurationEffects each compared two maps entry by entry and wrote the same line. EntryChange does both. Behaviour is unchanged, and the tests of diff, apply and check pass.

--- a/tools/src/main/java/io/fuchsiastand/tools/ConfigurationDiff.java
+++ b/tools/src/main/java/io/fuchsiastand/tools/ConfigurationDiff.java
@@ -2,8 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
-import java.util.TreeSet;
 
 import io.fuchsiastand.config.Configuration;
 
@@ -22,25 +20,9 @@
      */
     static List<String> lines(Configuration before, Configuration after) {
         List<String> out = new ArrayList<>();
-        compare("service", before.services(), after.services(), out);
-        compare("plan", before.plans(), after.plans(), out);
-        compare("team", before.teams(), after.teams(), out);
+        EntryChange.between(before.services(), after.services()).forEach(c -> out.add(c.line("service")));
+        EntryChange.between(before.plans(), after.plans()).forEach(c -> out.add(c.line("plan")));
+        EntryChange.between(before.teams(), after.teams()).forEach(c -> out.add(c.line("team")));
         return out;
     }
-
-    private static <T> void compare(String kind, Map<String, T> before, Map<String, T> after, List<String> out) {
-        TreeSet<String> names = new TreeSet<>(before.keySet());
-        names.addAll(after.keySet());
-        for (String n : names) {
-            T a = before.get(n);
-            T b = after.get(n);
-            if (a == null) {
-                out.add("+ " + kind + ' ' + n);
-            } else if (b == null) {
-                out.add("- " + kind + ' ' + n);
-            } else if (!a.equals(b)) {
-                out.add("~ " + kind + ' ' + n + ": " + a + " -> " + b);
-            }
-        }
-    }
 }
--- a/tools/src/main/java/io/fuchsiastand/tools/ConfigurationEffects.java
+++ b/tools/src/main/java/io/fuchsiastand/tools/ConfigurationEffects.java
@@ -3,9 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 import java.util.TreeMap;
-import java.util.TreeSet;
 import java.util.function.BiFunction;
 
 import io.fuchsiastand.config.Allowance;
@@ -29,10 +27,10 @@
      */
     static List<String> lines(Configuration before, Configuration after) {
         List<String> out = new ArrayList<>();
-        compare(routes(before), routes(after), out, ConfigurationEffects::routeEffect);
-        compare(services(before), services(after), out, (a, b) -> "");
-        compare(allowances(before), allowances(after), out, ConfigurationEffects::allowanceEffect);
-        compare(teams(before), teams(after), out, ConfigurationEffects::teamEffect);
+        compare("route", routes(before), routes(after), out, ConfigurationEffects::routeEffect);
+        compare("service", services(before), services(after), out, (a, b) -> "");
+        compare("plan", allowances(before), allowances(after), out, ConfigurationEffects::allowanceEffect);
+        compare("team", teams(before), teams(after), out, ConfigurationEffects::teamEffect);
         return out;
     }
 
@@ -47,18 +45,14 @@
     private record ServiceEntry(String timeout, int queue, double floor, String detection) {}
 
     private static <T> void compare(
-            Map<String, T> before, Map<String, T> after, List<String> out, BiFunction<T, T, String> effect) {
-        TreeSet<String> names = new TreeSet<>(before.keySet());
-        names.addAll(after.keySet());
-        for (String n : names) {
-            T a = before.get(n);
-            T b = after.get(n);
-            if (!Objects.equals(a, b)) {
-                String sign = a == null ? "+ " : b == null ? "- " : "~ ";
-                String change = a == null || b == null ? "" : ": " + a + " -> " + b;
-                String text = effect.apply(a, b);
-                out.add(sign + n + change + (text.isEmpty() ? "" : "; " + text));
-            }
+            String kind,
+            Map<String, T> before,
+            Map<String, T> after,
+            List<String> out,
+            BiFunction<T, T, String> effect) {
+        for (EntryChange<T> c : EntryChange.between(before, after)) {
+            String text = effect.apply(c.before(), c.after());
+            out.add(c.line(kind) + (text.isEmpty() ? "" : "; " + text));
         }
     }
 
@@ -89,8 +83,7 @@
 
     private static Map<String, RouteEntry> routes(Configuration c) {
         Map<String, RouteEntry> out = new TreeMap<>();
-        c.services().values().forEach(s -> s.routes()
-                .forEach(r -> out.put("route " + r.host() + r.path(), RouteEntry.of(s, r))));
+        c.services().values().forEach(s -> s.routes().forEach(r -> out.put(r.host() + r.path(), RouteEntry.of(s, r))));
         return out;
     }
 
@@ -99,7 +92,7 @@
         c.services()
                 .values()
                 .forEach(s -> out.put(
-                        "service " + s.name(),
+                        s.name(),
                         new ServiceEntry(
                                 s.timeout().toMillis() + "ms",
                                 s.queue(),
@@ -111,13 +104,13 @@
     private static Map<String, Allowance> allowances(Configuration c) {
         Map<String, Allowance> out = new TreeMap<>();
         c.plans().values().forEach(p -> p.allowances()
-                .forEach((service, a) -> out.put("plan " + p.name() + " for " + service, a)));
+                .forEach((service, a) -> out.put(p.name() + " for " + service, a)));
         return out;
     }
 
     private static Map<String, Team> teams(Configuration c) {
         Map<String, Team> out = new TreeMap<>();
-        c.teams().values().forEach(t -> out.put("team " + t.name(), t));
+        c.teams().values().forEach(t -> out.put(t.name(), t));
         return out;
     }
 }
