Find the plans in use once for all checks

ConfigurationAdvice went over all teams for each service and each plan. The plans that a team has are now a field. Behaviour is unchanged, and the test of each kind of finding passes.

--- a/core/src/main/java/io/fuchsiastand/config/ConfigurationAdvice.java
+++ b/core/src/main/java/io/fuchsiastand/config/ConfigurationAdvice.java
@@ -17,12 +17,19 @@
     private final Configuration configuration;
     private final TomlFile teamsFile;
     private final TomlFile plansFile;
+    private final Set<Plan> usedPlans;
     private final List<Problem> warnings = new ArrayList<>();
 
     private ConfigurationAdvice(Configuration configuration, TomlFile teamsFile, TomlFile plansFile) {
         this.configuration = configuration;
         this.teamsFile = teamsFile;
         this.plansFile = plansFile;
+        Map<String, Plan> plans = configuration.plans();
+        usedPlans = configuration.teams().values().stream()
+                .map(Team::plan)
+                .filter(plans::containsKey)
+                .map(plans::get)
+                .collect(Collectors.toSet());
     }
 
     /**
@@ -63,7 +70,7 @@
                     "failing backend servers of service '" + s.name() + "' stay in rotation: the floor is 1");
         }
         boolean needsPlan = s.routes().stream().anyMatch(r -> !r.open());
-        if (needsPlan && usedPlans().stream().noneMatch(p -> allows(p, s.name()))) {
+        if (needsPlan && usedPlans.stream().noneMatch(p -> allows(p, s.name()))) {
             warn(
                     plansFile,
                     path,
@@ -97,7 +104,7 @@
 
     private void checkPlan(Plan p) {
         String path = "plans." + p.name();
-        if (usedPlans().stream().noneMatch(u -> u.name().equals(p.name()))) {
+        if (usedPlans.stream().noneMatch(u -> u.name().equals(p.name()))) {
             // A plan is written as a table for each of its services.
             String first = new TreeSet<>(p.allowances().keySet()).first();
             warn(plansFile, path + '.' + first, "no team has plan '" + p.name() + "'");
@@ -140,15 +147,6 @@
         }
     }
 
-    private Set<Plan> usedPlans() {
-        Map<String, Plan> plans = configuration.plans();
-        return configuration.teams().values().stream()
-                .map(Team::plan)
-                .filter(plans::containsKey)
-                .map(plans::get)
-                .collect(Collectors.toSet());
-    }
-
     private static boolean allows(Plan p, String service) {
         return p.allowances().containsKey(service) || p.allowances().containsKey(Plan.ALL_SERVICES);
     }
