Check a configuration against what a daemon has in force

fuchsiactl check compared only with the platform and saw neither keys nor backend servers, so that it passed a burst that no backend server can take and teams whose requests are all refused with 401.

The test that counts the warnings on the platform now gives its team a key first, since the lack of it is a finding; tests of each new finding, of the command and of a running daemon pass.

--- a/core/src/main/java/io/fuchsiastand/config/ConfigurationAdvice.java
+++ b/core/src/main/java/io/fuchsiastand/config/ConfigurationAdvice.java
@@ -17,10 +17,13 @@
     private final Configuration configuration;
     private final TomlFile teamsFile;
     private final TomlFile plansFile;
+    private final Surroundings surroundings;
     private final Set<Plan> usedPlans;
     private final List<Problem> warnings = new ArrayList<>();
 
-    private ConfigurationAdvice(Configuration configuration, TomlFile teamsFile, TomlFile plansFile) {
+    private ConfigurationAdvice(
+            Configuration configuration, TomlFile teamsFile, TomlFile plansFile, Surroundings surroundings) {
+        this.surroundings = surroundings;
         this.configuration = configuration;
         this.teamsFile = teamsFile;
         this.plansFile = plansFile;
@@ -38,10 +41,12 @@
      * @param configuration the configuration that {@link ConfigurationReader} read from the files, without problems
      * @param teamsFile the teams file
      * @param plansFile the plans file
+     * @param surroundings the deployment in which it is to be applied
      * @return the findings with file and line; empty if there are none
      */
-    public static List<Problem> warnings(Configuration configuration, TomlFile teamsFile, TomlFile plansFile) {
-        ConfigurationAdvice a = new ConfigurationAdvice(configuration, teamsFile, plansFile);
+    public static List<Problem> warnings(
+            Configuration configuration, TomlFile teamsFile, TomlFile plansFile, Surroundings surroundings) {
+        ConfigurationAdvice a = new ConfigurationAdvice(configuration, teamsFile, plansFile, surroundings);
         configuration.services().values().stream()
                 .sorted((x, y) -> x.name().compareTo(y.name()))
                 .forEach(a::checkService);
@@ -134,6 +139,7 @@
                         "the burst " + a.burst() + " is never reached: plan '" + p.name() + "' allows " + all.burst()
                                 + " for all services together");
             }
+            checkRoom(entry, name, a);
             Service s = configuration.services().get(name);
             if (s != null && s.routes().stream().allMatch(Route::open)) {
                 warn(plansFile, entry, "the allowance is never used: all routes of service '" + name + "' are open");
@@ -145,6 +151,39 @@
         if (configuration.teams().isEmpty()) {
             warn(teamsFile, "", "there is no team, so that only open routes are served");
         }
+        // A team gets its first key only after it was applied.
+        surroundings.configuration().teams().keySet().stream()
+                .filter(t -> configuration.teams().containsKey(t)
+                        && !surroundings.keys().containsKey(t))
+                .sorted()
+                .forEach(t -> warn(
+                        teamsFile, "teams." + t, "no request can be one of team '" + t + "': it has no valid key"));
+    }
+
+    // Calls beyond those that run or wait at the same time are refused, though the plan allows them.
+    private void checkRoom(String entry, String name, Allowance a) {
+        List<Service> services = configuration.services().values().stream()
+                .filter(s -> name.equals(Plan.ALL_SERVICES) || name.equals(s.name()))
+                .toList();
+        // Of a service without backend servers, none may have started yet.
+        if (!services.stream().allMatch(s -> surroundings.rooms().containsKey(s.name()))) {
+            return;
+        }
+        long slots = 0;
+        long places = 0;
+        for (Service s : services) {
+            Surroundings.Room room = surroundings.rooms().get(s.name());
+            slots += room.slots();
+            places += (long) room.servers() * s.queue();
+        }
+        if (a.burst() > slots + places) {
+            warn(
+                    plansFile,
+                    entry + ".burst",
+                    "a burst of " + a.burst() + " calls finds no room: "
+                            + (name.equals(Plan.ALL_SERVICES) ? "all services run " : "service '" + name + "' runs ")
+                            + slots + " at a time, and " + places + " can wait");
+        }
     }
 
     private static boolean allows(Plan p, String service) {
--- a/core/src/main/java/io/fuchsiastand/key/KeyTable.java
+++ b/core/src/main/java/io/fuchsiastand/key/KeyTable.java
@@ -1,5 +1,6 @@
 package io.fuchsiastand.key;
 
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -88,6 +89,17 @@
         return found.size() == 1 ? Optional.of(found.get(0)) : Optional.empty();
     }
 
+    /**
+     * Counts the valid keys of each team.
+     *
+     * @return the numbers by the names of the teams that have any
+     */
+    public Map<String, Integer> countByTeam() {
+        Map<String, Integer> out = new HashMap<>();
+        teams.values().forEach(t -> out.merge(t, 1, Integer::sum));
+        return out;
+    }
+
     /**
      * Returns the number of valid keys.
      *
--- a/core/src/test/java/io/fuchsiastand/config/ConfigurationAdviceTest.java
+++ b/core/src/test/java/io/fuchsiastand/config/ConfigurationAdviceTest.java
@@ -75,6 +75,29 @@
                 .contains("teams: there is no team, so that only open routes are served");
     }
 
+    @Test
+    void namesABurstThatTheBackendServersCannotHold() {
+        String plans = PLANS.replace("burst = 10", "burst = 20");
+        assertThat(warnings(TEAMS, plans, deployment(1, Map.of("menu", new Surroundings.Room(1, 4)))))
+                .isEmpty();
+        assertThat(warnings(TEAMS, plans, deployment(1, Map.of("menu", new Surroundings.Room(1, 3)))))
+                .containsExactly(
+                        "plans:13: a burst of 20.0 calls finds no room: all services run 3 at a time, and 16 can wait",
+                        "plans:10: a burst of 20.0 calls finds no room: service 'menu' runs 3 at a time, and 16 can wait");
+        assertThat(warnings(TEAMS, plans, deployment(1, Map.of()))).isEmpty();
+    }
+
+    @Test
+    void namesATeamInForceWithoutAKeyButNoNewTeam() {
+        assertThat(warnings(TEAMS + "[teams.locarno]\nplan = \"gold\"\n", PLANS, deployment(0, Map.of())))
+                .containsExactly("teams:1: no request can be one of team 'zermatt': it has no valid key");
+    }
+
+    private static Surroundings deployment(int keys, Map<String, Surroundings.Room> rooms) {
+        return new Surroundings(
+                read(TEAMS, PLANS).withVersion(1), keys == 0 ? Map.of() : Map.of("zermatt", keys), rooms);
+    }
+
     // A daemon encodes, decodes and indexes each version that it takes.
     @Property(tries = 200)
     void aDaemonTakesWhatIsReadWithoutProblems(
@@ -96,7 +119,10 @@
                 ConfigurationReader.read(new TomlFile("teams", TEAMS), new TomlFile("plans", plans.toString()));
         if (r.problems().isEmpty()) {
             ConfigurationAdvice.warnings(
-                    r.configuration(), new TomlFile("teams", TEAMS), new TomlFile("plans", plans.toString()));
+                    r.configuration(),
+                    new TomlFile("teams", TEAMS),
+                    new TomlFile("plans", plans.toString()),
+                    Surroundings.UNKNOWN);
             Map<String, byte[]> chunks = new TreeMap<>(ConfigurationCodec.split(r.configuration()));
             Configuration decoded = ConfigurationCodec.join(1, List.copyOf(chunks.values()));
             assertThat(decoded).isEqualTo(r.configuration().withVersion(1));
@@ -110,12 +136,21 @@
     }
 
     private static List<String> warnings(String teams, String plans) {
-        TomlFile t = new TomlFile("teams", teams);
-        TomlFile p = new TomlFile("plans", plans);
-        ConfigurationReader.Result r = ConfigurationReader.read(t, p);
-        assertThat(r.problems()).isEmpty();
-        return ConfigurationAdvice.warnings(r.configuration(), t, p).stream()
+        return warnings(teams, plans, Surroundings.UNKNOWN);
+    }
+
+    private static List<String> warnings(String teams, String plans, Surroundings deployment) {
+        return ConfigurationAdvice.warnings(
+                        read(teams, plans), new TomlFile("teams", teams), new TomlFile("plans", plans), deployment)
+                .stream()
                 .map(Problem::toString)
                 .toList();
     }
+
+    private static Configuration read(String teams, String plans) {
+        ConfigurationReader.Result r =
+                ConfigurationReader.read(new TomlFile("teams", teams), new TomlFile("plans", plans));
+        assertThat(r.problems()).isEmpty();
+        return r.configuration();
+    }
 }
--- a/daemon/src/main/java/io/fuchsiastand/daemon/admin/AdminService.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/admin/AdminService.java
@@ -25,9 +25,9 @@
 import io.servicetalk.http.api.HttpServiceContext;
 
 /**
- * Serves the admin port and, if the settings have one, the port for readiness checks. Any client may read health, metrics
- * and status. Announcements, drains and removals of backend servers are accepted only from clients on this host. The
- * withdrawal of a key needs the operators' credential.
+ * Serves the admin port and, if the settings have one, the port for readiness checks. Any client may read health, metrics,
+ * status, explanations, and the configuration in force without key digests. Announcements, drains and removals of backend
+ * servers are accepted only from clients on this host. The withdrawal of a key needs the operators' credential.
  */
 public final class AdminService implements BlockingHttpService {
 
@@ -86,6 +86,8 @@
                         board.lifecycle().get().name());
             case "/metrics" -> Response.text(HttpResponseStatus.OK, metrics.scrape());
             case "/status" -> new Response(HttpResponseStatus.OK, JSON, Json.write(status.get()));
+            case "/configuration" ->
+                new Response(HttpResponseStatus.OK, JSON, Json.write(ActiveSurroundings.of(board)));
             case "/explain" -> explain(request);
             default -> Response.text(HttpResponseStatus.NOT_FOUND, "no such path");
         };
--- a/daemon/src/test/java/io/fuchsiastand/daemon/WorkStatusTest.java
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/WorkStatusTest.java
@@ -7,6 +7,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.fuchsiastand.config.Json;
+import io.fuchsiastand.config.Surroundings;
 import io.fuchsiastand.standin.BackendFaults;
 import io.fuchsiastand.standin.BackendServerStandin;
 import org.junit.jupiter.api.Test;
@@ -57,6 +58,19 @@
         }
     }
 
+    @Test
+    void tellsWhoeverChecksANewConfigurationWhatIsInForce() throws Exception {
+        try (Fleet fleet = new Fleet(1)) {
+            fleet.startBackend(0, "menu-1", "menu", 3);
+            fleet.startBackend(0, "menu-2", "menu", 4);
+            Surroundings known = Json.read(get(fleet, "/configuration").getBytes(UTF_8), Surroundings.class);
+            assertThat(known.configuration().version()).isEqualTo(1);
+            assertThat(known.configuration().services().keySet()).containsExactly("menu", "till");
+            assertThat(known.keys()).containsExactly("zermatt", 1);
+            assertThat(known.rooms()).containsExactly("menu", new Surroundings.Room(2, 7));
+        }
+    }
+
     private static CompletableFuture<HttpResponse<String>> get(Fleet fleet) {
         return fleet.client.sendAsync(fleet.request(0, "/open", null).build(), HttpResponse.BodyHandlers.ofString());
     }
--- a/tools/src/main/java/io/fuchsiastand/tools/CheckCommand.java
+++ b/tools/src/main/java/io/fuchsiastand/tools/CheckCommand.java
@@ -3,13 +3,20 @@
 import java.io.PrintStream;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 
 import io.fuchsiastand.config.Configuration;
 import io.fuchsiastand.config.ConfigurationAdvice;
 import io.fuchsiastand.config.ConfigurationReader;
 import io.fuchsiastand.config.Problem;
+import io.fuchsiastand.config.Surroundings;
 import io.fuchsiastand.config.TomlFile;
+import io.fuchsiastand.error.ErrorCode;
+import io.fuchsiastand.error.FuchsiastandException;
+import io.fuchsiastand.key.KeyEntry;
+import io.fuchsiastand.store.ObjectStore;
 import org.kohsuke.args4j.Option;
 
 /** Checks the teams file and the plans file before they are applied, and shows what differs from the version in force. */
@@ -18,6 +25,13 @@
     private final ConfigurationFiles files = new ConfigurationFiles();
     private final PlatformOption platform = new PlatformOption();
 
+    @Option(
+            name = "--daemon",
+            metaVar = "HOST:PORT",
+            usage =
+                    "the admin port of a daemon, to compare with the version that it has in force, its keys and backend servers")
+    private String daemonAddress;
+
     @Option(name = "--strict", usage = "exit with 2 if there are warnings")
     private boolean strict;
 
@@ -49,19 +63,39 @@
         TomlFile plans = files.plans();
         ConfigurationReader.Result r = ConfigurationReader.read(teams, plans);
         boolean valid = r.problems().isEmpty();
-        List<Problem> warnings = valid ? ConfigurationAdvice.warnings(r.configuration(), teams, plans) : List.of();
-        long version = 0;
-        List<String> changes = List.of();
-        Optional<Configuration> current =
-                valid ? platform.map(s -> new ConfigurationStore(s).read().configuration()) : Optional.empty();
-        if (current.isPresent()) {
-            version = current.get().version();
-            changes = ConfigurationEffects.lines(current.get(), r.configuration());
-        }
-        report = new Report(r.problems(), warnings, version, changes);
+        report = valid ? compare(r.configuration(), teams, plans) : new Report(r.problems(), List.of(), 0, List.of());
         print(out, report, text(report));
     }
 
+    private Report compare(Configuration c, TomlFile teams, TomlFile plans) {
+        Optional<Surroundings> known = surroundings();
+        List<Problem> warnings = ConfigurationAdvice.warnings(c, teams, plans, known.orElse(Surroundings.UNKNOWN));
+        List<String> changes =
+                known.map(k -> ConfigurationEffects.lines(k.configuration(), c)).orElse(List.of());
+        return new Report(
+                List.of(), warnings, known.map(k -> k.configuration().version()).orElse(0L), changes);
+    }
+
+    private Optional<Surroundings> surroundings() {
+        if (daemonAddress != null && platform.isGiven()) {
+            throw new FuchsiastandException(ErrorCode.USAGE, "only one of --platform and --daemon can be given");
+        }
+        return daemonAddress != null
+                ? Optional.of(DaemonClient.surroundings(daemonAddress))
+                : platform.map(CheckCommand::readSurroundings);
+    }
+
+    // The platform does not know the backend servers.
+    private static Surroundings readSurroundings(ObjectStore store) {
+        Map<String, Integer> keys = new TreeMap<>();
+        for (KeyEntry k : new KeyStore(store).list()) {
+            if (k.withdrawn() == null) {
+                keys.merge(k.team(), 1, Integer::sum);
+            }
+        }
+        return new Surroundings(new ConfigurationStore(store).read().configuration(), keys, Map.of());
+    }
+
     @Override
     int exitCode() {
         if (!report.errors().isEmpty()) {
--- a/tools/src/main/java/io/fuchsiastand/tools/Command.java
+++ b/tools/src/main/java/io/fuchsiastand/tools/Command.java
@@ -20,6 +20,9 @@
     @Option(name = "--output", usage = "text or json")
     private Output output = Output.TEXT;
 
+    @Option(name = "--json", usage = "the same as --output json")
+    private boolean json;
+
     @Option(name = "--help", help = true, usage = "print this text")
     private boolean help;
 
@@ -61,13 +64,13 @@
     }
 
     /**
-     * Prints a result in the format that the option {@code --output} selects.
+     * Prints a result in the format that the option {@code --output} or {@code --json} selects.
      *
      * @param out the stream to which the result is printed
      * @param value the object to print as JSON
      * @param text the text to print for people
      */
     final void print(PrintStream out, Object value, String text) {
-        out.println(output == Output.JSON ? Json.writeIndented(value) : text);
+        out.println(json || output == Output.JSON ? Json.writeIndented(value) : text);
     }
 }
--- a/tools/src/main/java/io/fuchsiastand/tools/DaemonClient.java
+++ b/tools/src/main/java/io/fuchsiastand/tools/DaemonClient.java
@@ -14,6 +14,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.fuchsiastand.config.Json;
+import io.fuchsiastand.config.Surroundings;
 import io.fuchsiastand.error.ErrorCode;
 import io.fuchsiastand.error.FuchsiastandException;
 
@@ -35,8 +36,18 @@
      *     status 200 or this thread is interrupted, or {@link ErrorCode#USAGE} if the address is invalid
      */
     static JsonNode status(String address) {
-        return read(address, "/status")
-                .orElseThrow(() -> unavailable(address, "responded with status " + STATUS_NOT_FOUND, null));
+        return Json.read(readExisting(address, "/status"), JsonNode.class);
+    }
+
+    /**
+     * Reads the configuration that a daemon has in force, and what it knows of keys and backend servers.
+     *
+     * @param address the host and the admin port, as HOST:PORT
+     * @return the surroundings of a new configuration
+     * @throws FuchsiastandException as {@link #status} does
+     */
+    static Surroundings surroundings(String address) {
+        return Json.read(readExisting(address, "/configuration"), Surroundings.class);
     }
 
     /**
@@ -55,10 +66,15 @@
                         + URLEncoder.encode(e.getValue(), StandardCharsets.UTF_8)
                                 .replace("+", "%20"))
                 .collect(Collectors.joining("&"));
-        return read(address, "/explain?" + text);
+        return read(address, "/explain?" + text).map(b -> Json.read(b, JsonNode.class));
+    }
+
+    private static byte[] readExisting(String address, String path) {
+        return read(address, path)
+                .orElseThrow(() -> unavailable(address, "responded with status " + STATUS_NOT_FOUND, null));
     }
 
-    private static Optional<JsonNode> read(String address, String path) {
+    private static Optional<byte[]> read(String address, String path) {
         try {
             HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + address + path))
                     .timeout(REQUEST_TIMEOUT)
@@ -70,7 +86,7 @@
             if (r.statusCode() != STATUS_OK) {
                 throw unavailable(address, "responded with status " + r.statusCode(), null);
             }
-            return Optional.of(Json.read(r.body(), JsonNode.class));
+            return Optional.of(r.body());
         } catch (IOException e) {
             throw unavailable(address, "did not respond", e);
         } catch (InterruptedException e) {
--- a/tools/src/main/java/io/fuchsiastand/tools/PlatformOption.java
+++ b/tools/src/main/java/io/fuchsiastand/tools/PlatformOption.java
@@ -20,6 +20,10 @@
     @Option(name = "--platform", metaVar = "HOST:PORT", usage = "the platform's address")
     private String address;
 
+    boolean isGiven() {
+        return address != null;
+    }
+
     /**
      * Runs work with the object store of the platform.
      *
--- a/tools/src/test/java/io/fuchsiastand/tools/FuchsiactlTest.java
+++ b/tools/src/test/java/io/fuchsiastand/tools/FuchsiactlTest.java
@@ -6,7 +6,15 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Instant;
+import java.util.Map;
+import java.util.stream.Stream;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import io.fuchsiastand.config.Configuration;
+import io.fuchsiastand.config.ConfigurationReader;
+import io.fuchsiastand.config.Json;
+import io.fuchsiastand.config.Surroundings;
+import io.fuchsiastand.config.TomlFile;
 import io.fuchsiastand.key.KeyEntry;
 import io.fuchsiastand.standin.MemoryObjectStore;
 import io.fuchsiastand.standin.PlatformStandin;
@@ -19,6 +27,7 @@
 
 class FuchsiactlTest {
 
+    private static final String TEAMS = "[teams.zermatt]\nplan = \"gold\"\n";
     private static final String PLANS =
             """
             [services.menu]
@@ -40,7 +49,7 @@
     @BeforeEach
     void startPlatform() throws Exception {
         platform = new PlatformStandin("127.0.0.1", 0, objects);
-        write("teams.toml", "[teams.zermatt]\nplan = \"gold\"\n");
+        write("teams.toml", TEAMS);
         write("plans.toml", PLANS);
     }
 
@@ -92,6 +101,7 @@
     @Test
     void checksTheFilesAndShowsWhatCallersWillSee() throws Exception {
         runWithFiles("apply");
+        run("key", "give", "zermatt", "--platform", address());
         write("plans.toml", PLANS.replace("rate = 50", "rate = 0").replace("/menu", "/menus"));
         assertThat(runWithFiles("check")).isEqualTo(0);
         assertThat(out()).contains("plans.toml:5: a team of plan 'gold' is refused for good");
@@ -114,6 +124,51 @@
         assertThat(out()).contains("plans.toml:6: 'burst'");
     }
 
+    @Test
+    void checkComparesWithWhatADaemonHasInForce() throws Exception {
+        String plans = PLANS.replace("[[services", "queue = 0\n[[services");
+        write("plans.toml", plans);
+        Configuration inForce = ConfigurationReader.read(
+                        new TomlFile("teams", TEAMS), new TomlFile("plans", plans.replace("rate = 50", "rate = 60")))
+                .configuration();
+        String surroundings = Json.writeIndented(
+                new Surroundings(inForce.withVersion(7), Map.of(), Map.of("menu", new Surroundings.Room(2, 9))));
+        try (DaemonStandin daemon = new DaemonStandin().answer("/configuration", surroundings)) {
+            String[] check = {
+                "check",
+                "--json",
+                "--strict",
+                "--daemon",
+                daemon.address(),
+                "--teams",
+                pathOf("teams.toml"),
+                "--plans",
+                pathOf("plans.toml")
+            };
+            int exit = run(check);
+            assertThat(err()).isEmpty();
+            assertThat(exit).isEqualTo(Fuchsiactl.EXIT_WARNINGS);
+            JsonNode report = Json.read(out.toByteArray(), JsonNode.class);
+            assertThat(report.path("comparedWith").asLong()).isEqualTo(7);
+            assertThat(report.path("changes").size()).isEqualTo(1);
+            assertThat(report.path("warnings").findValuesAsText("message"))
+                    .containsExactly(
+                            "a burst of 10.0 calls finds no room: service 'menu' runs 9 at a time, and 0 can wait",
+                            "no request can be one of team 'zermatt': it has no valid key");
+            assertThat(runWithFiles("check", "--daemon", daemon.address())).isEqualTo(Fuchsiactl.EXIT_USAGE);
+        }
+    }
+
+    @Test
+    void checkNamesATeamWithoutAKeyOnThePlatform() {
+        runWithFiles("apply");
+        runWithFiles("check");
+        assertThat(out()).contains("teams.toml:1: no request can be one of team 'zermatt'");
+        run("key", "give", "zermatt", "--platform", address());
+        runWithFiles("check");
+        assertThat(out()).contains("0 errors, 0 warnings");
+    }
+
     @Test
     void givesExplainsWithdrawsAndListsKeys() {
         runWithFiles("apply");
@@ -198,8 +253,11 @@
         assertThat(out()).contains("\"rate\" : 50.0");
     }
 
-    private int runWithFiles(String command) {
-        return run(command, "--platform", address(), "--teams", pathOf("teams.toml"), "--plans", pathOf("plans.toml"));
+    private int runWithFiles(String command, String... further) {
+        String[] args = {
+            command, "--platform", address(), "--teams", pathOf("teams.toml"), "--plans", pathOf("plans.toml")
+        };
+        return run(Stream.of(args, further).flatMap(Stream::of).toArray(String[]::new));
     }
 
     private int run(String... args) {
