Pass the limit on a body as a number

MessageLimits took a LongSupplier for the limit on a body, but all callers passed constants. It is a long now, and connections of daemons share one method without the parameter.

--- a/daemon/src/main/java/io/fuchsiastand/daemon/http/Transport.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/http/Transport.java
@@ -11,7 +11,6 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
 import io.fuchsiastand.config.RequestLimits;
@@ -146,8 +145,7 @@
             CallerConnections connections) {
         HttpServerBuilder b = server(port).appendLateConnectionAcceptor(c -> {
             ConnectionGuard.install(c, limits, clock, connections);
-            RequestSizeLimit.installForForwarding(
-                    c, messageLimits(MAX_FORWARDED_SECTION_BYTES, () -> MessageSizeLimit.UNLIMITED));
+            RequestSizeLimit.installForForwarding(c, messageLimits(MAX_FORWARDED_SECTION_BYTES));
             return Completable.completed();
         });
         return listen(b, port, service);
@@ -162,8 +160,7 @@
      */
     public ServerContext dataServer(int port, StreamingHttpService service) {
         HttpServerBuilder b = server(port).appendLateConnectionAcceptor(c -> {
-            RequestSizeLimit.installForForwarding(
-                    c, messageLimits(MAX_FORWARDED_SECTION_BYTES, () -> MessageSizeLimit.UNLIMITED));
+            RequestSizeLimit.installForForwarding(c, messageLimits(MAX_FORWARDED_SECTION_BYTES));
             return Completable.completed();
         });
         tls.ifPresent(t -> b.sslConfig(new ServerSslConfigBuilder(() -> open(t.certificate()), () -> open(t.key()))
@@ -205,7 +202,7 @@
                         RequestSizeLimit.install(
                                 c,
                                 new MessageLimits(
-                                        MAX_SECTION_BYTES, maxHeaderFields, () -> MAX_KEPT_BODY_BYTES, true, buffer));
+                                        MAX_SECTION_BYTES, maxHeaderFields, MAX_KEPT_BODY_BYTES, true, buffer));
                         return Completable.completed();
                     })
                     .listenBlockingAndAwait(service);
@@ -328,16 +325,15 @@
                 .protocols(http1())
                 .socketOption(ServiceTalkSocketOptions.CONNECT_TIMEOUT, CONNECT_TIMEOUT_MILLIS)
                 .appendConnectionFactoryFilter(DeadConnectionDetection.forCalls())
-                .appendConnectionFactoryFilter(MessageSizeLimit.forResponses(
-                        messageLimits(MAX_SECTION_BYTES, () -> MessageSizeLimit.UNLIMITED)))
+                .appendConnectionFactoryFilter(MessageSizeLimit.forResponses(messageLimits(MAX_SECTION_BYTES)))
                 .appendConnectionFactoryFilter(UndelimitedResponses.passingOn())
                 .hostHeaderFallback(false)
                 // The daemon decides which calls are retried.
                 .appendClientFilter(RetryingHttpRequesterFilter.disableAutoRetries());
     }
 
-    private MessageLimits messageLimits(int maxSectionBytes, LongSupplier maxBodyBytes) {
-        return new MessageLimits(maxSectionBytes, maxHeaderFields, maxBodyBytes, false, buffer);
+    private MessageLimits messageLimits(int maxSectionBytes) {
+        return new MessageLimits(maxSectionBytes, maxHeaderFields, MessageSizeLimit.UNLIMITED, false, buffer);
     }
 
     private HttpServerBuilder server(int port) {
--- a/store/src/main/java/io/fuchsiastand/http/MessageLimits.java
+++ b/store/src/main/java/io/fuchsiastand/http/MessageLimits.java
@@ -1,7 +1,5 @@
 package io.fuchsiastand.http;
 
-import java.util.function.LongSupplier;
-
 import io.fuchsiastand.memory.SharedBuffer;
 
 /**
@@ -9,12 +7,12 @@
  *
  * @param sectionBytes the limit on a header or trailer section, in bytes
  * @param sectionLines the limit on the lines of a header or trailer section
- * @param bodyBytes supplies the limit on a body in bytes, or {@link MessageSizeLimit#UNLIMITED}
+ * @param bodyBytes the limit on a body in bytes, or {@link MessageSizeLimit#UNLIMITED}
  * @param keepsBodies whether a body is kept in memory until the response to it begins
  * @param buffer the memory of all connections for messages that are not complete
  */
 public record MessageLimits(
-        int sectionBytes, int sectionLines, LongSupplier bodyBytes, boolean keepsBodies, SharedBuffer buffer) {
+        int sectionBytes, int sectionLines, long bodyBytes, boolean keepsBodies, SharedBuffer buffer) {
 
     /** The limit on the lines of a section unless another one is set. */
     public static final int DEFAULT_SECTION_LINES = 10_000;
@@ -28,6 +26,6 @@
      */
     public static MessageLimits unshared(int sectionBytes, long bodyBytes) {
         return new MessageLimits(
-                sectionBytes, DEFAULT_SECTION_LINES, () -> bodyBytes, false, new SharedBuffer(Long.MAX_VALUE));
+                sectionBytes, DEFAULT_SECTION_LINES, bodyBytes, false, new SharedBuffer(Long.MAX_VALUE));
     }
 }
--- a/store/src/main/java/io/fuchsiastand/http/MessageSizeLimit.java
+++ b/store/src/main/java/io/fuchsiastand/http/MessageSizeLimit.java
@@ -220,10 +220,8 @@
             }
             if (exceeded) {
                 ReferenceCountUtil.release(message);
-            } else if (bodyBytes > limits.bodyBytes().getAsLong()) {
-                reject(
-                        Part.BODY,
-                        "the body is longer than " + limits.bodyBytes().getAsLong() + " bytes");
+            } else if (bodyBytes > limits.bodyBytes()) {
+                reject(Part.BODY, "the body is longer than " + limits.bodyBytes() + " bytes");
             } else {
                 context.fireChannelRead(message);
             }
--- a/store/src/test/java/io/fuchsiastand/http/MessageSizeLimitTest.java
+++ b/store/src/test/java/io/fuchsiastand/http/MessageSizeLimitTest.java
@@ -128,7 +128,7 @@
 
     private static EmbeddedChannel connection(SharedBuffer buffer) {
         EmbeddedChannel c = new EmbeddedChannel(new Decoder(), new ChannelInboundHandlerAdapter());
-        MessageLimits limits = new MessageLimits(100 * MAX_BYTES, MAX_LINES, () -> MAX_BYTES, false, buffer);
+        MessageLimits limits = new MessageLimits(100 * MAX_BYTES, MAX_LINES, MAX_BYTES, false, buffer);
         MessageSizeLimit.install(c.pipeline(), limits, MessageSizeLimit::close);
         return c;
     }
