Say in one place which calls are parts of requests

Five places decided from a missing team that a call is more urgent than those of teams, because a backend server that runs another request is assumed to make it. BackendCall and RoutedRequest now say so, and the call says its priority in queues and meters. Behaviour is unchanged, and the tests of slots, admission, attempts and chains of calls pass.

--- a/daemon/src/main/java/io/fuchsiastand/daemon/admission/RequestAdmission.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/admission/RequestAdmission.java
@@ -70,7 +70,7 @@
      * @throws RefusalException if it may not
      */
     public void check(BackendCall call) {
-        if (!enabled || call.team().isEmpty() || call.retry() || call.lastResort() || call.trial()) {
+        if (!enabled || call.isPartOfRequest() || call.retry() || call.lastResort() || call.trial()) {
             return;
         }
         Optional<AdmissionControl.Refusal> refusal = control.check(routeOf(call), call.team(), call.priority());
@@ -108,9 +108,8 @@
         if (!enabled) {
             return wait;
         }
-        int priority = call.team().isEmpty() ? RoomReport.CALLS : call.priority();
-        return wait.beforeOnSuccess(x -> meter.record(priority, true))
-                .beforeOnError(e -> meter.record(priority, false));
+        return wait.beforeOnSuccess(x -> meter.record(call.urgency(), true))
+                .beforeOnError(e -> meter.record(call.urgency(), false));
     }
 
     /**
@@ -138,7 +137,7 @@
      */
     public Single<StreamingHttpResponse> followOutgoing(
             RoutedRequest call, String service, Single<StreamingHttpResponse> response) {
-        if (!enabled || !call.team().isEmpty()) {
+        if (!enabled || !call.isPartOfRequest()) {
             return response;
         }
         // The route may shorten the deadline that the backend server states.
--- a/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/CallAttempts.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/CallAttempts.java
@@ -77,10 +77,10 @@
     }
 
     // After an attempt that reached no backend server, another attempt starts only in the first half of the time
-    // until the deadline, so that the caller of a refused request has time to retry. A call without a team is
-    // assumed to come from a backend server that runs another request, which fails if the call is refused.
+    // until the deadline, so that the caller of a refused request has time to retry. A part of another request may
+    // use all of that time, since the other request fails if this one is refused.
     private boolean hasTimeForAnotherOwner() {
-        if (routed.team().isEmpty()) {
+        if (routed.isPartOfRequest()) {
             return true;
         }
         long now = clock.nanoTime();
--- a/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/RetryBudgets.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/RetryBudgets.java
@@ -87,9 +87,8 @@
     void recordRequest(String service, RoutedRequest request) {
         RetryBudget budget = of(service);
         budget.recordRequest();
-        if (request.team().isEmpty()) {
-            // A request without a team is on an open route. It may come from a backend server of this host and be
-            // caused by a retry that runs there.
+        if (request.isPartOfRequest()) {
+            // It may come from a backend server of this host and be caused by a retry that runs there.
             budget.recordRetries(retryShare.getAsDouble());
             settleDeficit(service, budget);
         }
--- a/daemon/src/main/java/io/fuchsiastand/daemon/edge/RoutedRequest.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/edge/RoutedRequest.java
@@ -32,6 +32,16 @@
         return new RoutedRequest(request, match, newTeam, newPriority, deadline, target);
     }
 
+    /**
+     * Returns whether a backend server is assumed to make the request while it runs another one: a request without a team is on an
+     * open route. The other request would fail too if this one were refused.
+     *
+     * @return true if the request goes before all requests of teams
+     */
+    public boolean isPartOfRequest() {
+        return team.isEmpty();
+    }
+
     /**
      * Returns whether the request may be sent more than once.
      *
--- a/daemon/src/main/java/io/fuchsiastand/daemon/owner/BackendCall.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/owner/BackendCall.java
@@ -2,6 +2,7 @@
 
 import java.util.OptionalDouble;
 
+import io.fuchsiastand.admission.RoomReport;
 import io.fuchsiastand.health.Baseline;
 import io.fuchsiastand.work.WorkKind;
 import io.servicetalk.http.api.StreamingHttpRequest;
@@ -44,4 +45,24 @@
         WorkKind kind,
         double usualCostMillis,
         Baseline baseline,
-        StreamingHttpRequest request) {}
+        StreamingHttpRequest request) {
+
+    /**
+     * Returns whether a backend server is assumed to make the call while it runs another request: a call without a team is on an
+     * open route. The other request would fail too if this call were refused.
+     *
+     * @return true if the call goes before all requests of teams
+     */
+    public boolean isPartOfRequest() {
+        return team.isEmpty();
+    }
+
+    /**
+     * Returns the priority with which the call waits for a slot.
+     *
+     * @return its priority, or {@link RoomReport#CALLS}, the most urgent one, if it is a part of a request
+     */
+    public int urgency() {
+        return isPartOfRequest() ? RoomReport.CALLS : priority;
+    }
+}
--- a/daemon/src/main/java/io/fuchsiastand/daemon/owner/SlotAdmission.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/owner/SlotAdmission.java
@@ -71,12 +71,6 @@
         this.random = random;
     }
 
-    // A call without a team is on an open route. It is assumed to come from a backend server that runs another call.
-    // That call would fail too if this one were refused, so this one is more urgent than all calls of teams.
-    private static int priorityOf(BackendCall call) {
-        return call.team().isEmpty() ? -1 : call.priority();
-    }
-
     // The time for which the call is expected to hold a slot; 0 if it is unknown.
     private static long expectedNanos(LocalBackend backend, BackendCall call) {
         return (long) (backend.work().estimates().expectedMillis(call.kind()) * NANOS_PER_MILLI);
@@ -113,7 +107,7 @@
         SlotRequest s = new SlotRequest();
         long start = clock.nanoTime();
         Submission submission = Submission.builder(call.team(), call.deadline())
-                .priority(priorityOf(call))
+                .priority(call.urgency())
                 .target(call.target())
                 .expectedNanos(expectedNanos(backend, call))
                 .maxWaitNanos(maxWaitNanos(backend, call, start))
@@ -153,7 +147,7 @@
     }
 
     private RefusalException refusal(LocalBackend backend, BackendCall call, QueueRefusal r, String detail) {
-        metrics.recordQueueRefusal(priorityOf(call), r.code().code());
+        metrics.recordQueueRefusal(call.urgency(), r.code().code());
         log.write(
                 "no slot",
                 conventions.requestIdOf(call.request().headers()),
