Bound the bytes of the requests that a backend server runs

A backend server crashes if the requests that it holds exceed its memory, and all of its callers lose theirs. The owner bounded only their number. It now bounds the bytes of their bodies too ([limits] most_backend_request_mb, 64): a body that does not fit is refused as not run, like a call that finds the queue full, and goes to another backend server if there is one.

--- a/core/src/main/java/io/fuchsiastand/queue/FairQueue.java
+++ b/core/src/main/java/io/fuchsiastand/queue/FairQueue.java
@@ -58,11 +58,27 @@
         private final long since = clock.nanoTime();
         // The slot time that the team was charged when the call got the slot.
         private double chargedNanos;
+        private Runnable onRelease = () -> {};
 
         private Permit(SubmittedCall call) {
             this.call = call;
         }
 
+        /**
+         * Sets what is released together with the slot, before the next call gets it.
+         *
+         * @param action run once; at once if the permit is released already
+         */
+        public void onRelease(Runnable action) {
+            synchronized (FairQueue.this) {
+                if (running.contains(this)) {
+                    onRelease = action;
+                    return;
+                }
+            }
+            action.run();
+        }
+
         /** Releases the slot. Calls after the first have no effect. */
         public void release() {
             releaseSlot(this);
@@ -272,6 +288,7 @@
             if (!running.remove(permit)) {
                 return;
             }
+            permit.onRelease.run();
             double nanos = clock.nanoTime() - permit.since;
             meanHoldNanos = meanHoldNanos == 0 ? nanos : meanHoldNanos + SMOOTHING * (nanos - meanHoldNanos);
             waiting.charge(permit.call.submission(), nanos - permit.chargedNanos);
--- a/daemon/src/main/java/io/fuchsiastand/daemon/Daemon.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/Daemon.java
@@ -274,7 +274,8 @@
                         metrics,
                         admission,
                         transport.timer(),
-                        RandomGenerator.getDefault()),
+                        RandomGenerator.getDefault(),
+                        settings.memory().backendRequestBytes()),
                 transport);
     }
 
@@ -288,6 +289,7 @@
         metrics.registerGauge("fuchsiastand_in_flight", callerService::inFlight);
         metrics.registerGauge("fuchsiastand_unfinished_bytes", transport.buffer()::heldBytes);
         metrics.registerGauge("fuchsiastand_unread_bytes", transport.readAhead()::unreadBytes);
+        metrics.registerGauge("fuchsiastand_backend_request_bytes", backends::maxRequestBytes);
         metrics.registerCounter("fuchsiastand_responses_unread", transport.readAhead()::stalls);
         metrics.registerCounter("fuchsiastand_connections_dropped", transport.buffer()::drops);
         metrics.registerGauge("fuchsiastand_members", board::fleetSize);
--- a/daemon/src/main/java/io/fuchsiastand/daemon/board/MemoryLimits.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/board/MemoryLimits.java
@@ -11,13 +11,15 @@
  *
  * @param headerFields the maximum number of lines in a header or trailer section
  * @param unfinishedBytes what all messages that are not complete, and all bodies that are kept, may take together, in bytes
+ * @param backendRequestBytes what the bodies of the requests that a backend server runs may take together, in bytes
  * @param maxUnread the time after which a response of which the caller takes nothing is ended
  */
-public record MemoryLimits(int headerFields, long unfinishedBytes, Duration maxUnread) {
+public record MemoryLimits(int headerFields, long unfinishedBytes, long backendRequestBytes, Duration maxUnread) {
 
     private static final int HEAP_DIVISOR = 8;
     private static final int MAX_HEADER_FIELDS = 1_000_000;
     private static final int MAX_MEGABYTES = 65_536;
+    private static final int DEFAULT_BACKEND_REQUEST_MEGABYTES = 64;
     private static final int DEFAULT_UNREAD_SECONDS = 300;
     private static final int MAX_UNREAD_SECONDS = 86_400;
     private static final String TABLE = "limits";
@@ -26,6 +28,7 @@
     public static final MemoryLimits DEFAULT = new MemoryLimits(
             MessageLimits.DEFAULT_SECTION_LINES,
             Runtime.getRuntime().maxMemory() / HEAP_DIVISOR,
+            (long) DEFAULT_BACKEND_REQUEST_MEGABYTES << 20,
             Duration.ofSeconds(DEFAULT_UNREAD_SECONDS));
 
     static MemoryLimits read(TomlFile f, JsonNode t) {
@@ -33,6 +36,15 @@
         return new MemoryLimits(
                 Settings.integer(f, TABLE, t, "most_header_fields", DEFAULT.headerFields(), 1, MAX_HEADER_FIELDS),
                 megabytes == 0 ? DEFAULT.unfinishedBytes() : megabytes << 20,
+                (long) Settings.integer(
+                                f,
+                                TABLE,
+                                t,
+                                "most_backend_request_mb",
+                                DEFAULT_BACKEND_REQUEST_MEGABYTES,
+                                1,
+                                MAX_MEGABYTES)
+                        << 20,
                 Duration.ofSeconds(Settings.integer(
                         f, TABLE, t, "longest_unread_s", DEFAULT_UNREAD_SECONDS, 1, MAX_UNREAD_SECONDS)));
     }
--- a/daemon/src/main/java/io/fuchsiastand/daemon/board/Settings.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/board/Settings.java
@@ -200,7 +200,8 @@
                         "most_in_flight",
                         "most_header_fields",
                         "most_unfinished_mb",
-                        "longest_unread_s")));
+                        "longest_unread_s",
+                        "most_backend_request_mb")));
         JsonNode log = f.table("", root, "log");
         f.checkKeys("log", log, Set.of("access"));
         return new Settings(
--- a/daemon/src/main/java/io/fuchsiastand/daemon/owner/BackendController.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/owner/BackendController.java
@@ -302,6 +302,18 @@
         return calls == 0 ? 0 : (double) retries / calls;
     }
 
+    /**
+     * Returns the bodies in flight to the backend server that has the most.
+     *
+     * @return the size in bytes
+     */
+    public long maxRequestBytes() {
+        return backends.values().stream()
+                .mapToLong(b -> b.work().requestBytes().heldBytes())
+                .max()
+                .orElse(0);
+    }
+
     /**
      * Returns the time for which the slots of the busiest backend server of this host are expected to be busy.
      *
--- a/daemon/src/main/java/io/fuchsiastand/daemon/owner/BackendWork.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/owner/BackendWork.java
@@ -3,12 +3,13 @@
 import java.util.concurrent.atomic.LongAdder;
 import java.util.stream.DoubleStream;
 
+import io.fuchsiastand.memory.RequestBytes;
 import io.fuchsiastand.work.WaterFilling;
 import io.fuchsiastand.work.WorkEstimates;
 import io.fuchsiastand.work.WorkKind;
 import org.tinylog.Logger;
 
-/** The expected work of the calls to one backend server: what each kind costs and what waits. */
+/** The expected work of the calls to one backend server: what each kind costs, what waits, and the bodies of those in flight. */
 public final class BackendWork {
 
     private static final double MICROS_PER_MILLI = 1e3;
@@ -17,6 +18,7 @@
     private final boolean published;
     private final WorkEstimates estimates = new WorkEstimates();
     private final LongAdder waitingMicros = new LongAdder();
+    private final RequestBytes requestBytes = new RequestBytes();
 
     /**
      * Creates the work of a backend server without calls.
@@ -38,6 +40,15 @@
         return estimates;
     }
 
+    /**
+     * Returns the bodies of the calls in flight.
+     *
+     * @return what the backend server may hold in memory
+     */
+    public RequestBytes requestBytes() {
+        return requestBytes;
+    }
+
     boolean isPublished() {
         return published;
     }
--- a/daemon/src/main/java/io/fuchsiastand/daemon/owner/SlotAdmission.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/owner/SlotAdmission.java
@@ -1,15 +1,18 @@
 package io.fuchsiastand.daemon.owner;
 
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.TimeoutException;
 import java.util.random.RandomGenerator;
 
 import io.fuchsiastand.daemon.admission.RequestAdmission;
 import io.fuchsiastand.daemon.http.HeaderConventions;
 import io.fuchsiastand.daemon.http.RefusalException;
+import io.fuchsiastand.daemon.http.RequestCheck;
 import io.fuchsiastand.daemon.metrics.Metrics;
 import io.fuchsiastand.daemon.metrics.RequestLog;
 import io.fuchsiastand.error.ErrorCode;
+import io.fuchsiastand.memory.RequestBytes;
 import io.fuchsiastand.queue.FairQueue;
 import io.fuchsiastand.queue.QueueOrder;
 import io.fuchsiastand.queue.QueueRefusal;
@@ -22,6 +25,8 @@
 
 import static io.servicetalk.concurrent.api.Processors.newSingleProcessor;
 import static io.servicetalk.concurrent.api.Single.defer;
+import static io.servicetalk.concurrent.api.Single.failed;
+import static io.servicetalk.concurrent.api.Single.succeeded;
 import static io.servicetalk.concurrent.api.SourceAdapters.fromSource;
 
 /** Waits for slots of backend servers on behalf of calls, and turns the refusals of queues into answers to callers. */
@@ -39,6 +44,7 @@
     private final RequestAdmission admission;
     private final Executor timer;
     private final RandomGenerator random;
+    private final long maxRequestBytes;
 
     /**
      * Creates the admission of calls to the backend servers of this host.
@@ -50,6 +56,7 @@
      * @param admission decides whether requests start
      * @param timer runs the timeouts of waiting calls
      * @param random spreads the times after which refused callers return
+     * @param maxRequestBytes what the bodies of the requests that a backend server runs may take together, in bytes
      */
     public SlotAdmission(
             Clock clock,
@@ -58,7 +65,9 @@
             Metrics metrics,
             RequestAdmission admission,
             Executor timer,
-            RandomGenerator random) {
+            RandomGenerator random,
+            long maxRequestBytes) {
+        this.maxRequestBytes = maxRequestBytes;
         this.clock = clock;
         this.conventions = conventions;
         this.log = log;
@@ -101,10 +110,34 @@
             Runnable endWait = backend.work().beginWait(call.kind());
             return admission
                     .measureRoom(call, backend.roomMeter(), waitForSlot(backend, call))
-                    .beforeFinally(endWait::run);
+                    .beforeFinally(endWait::run)
+                    .flatMap(permit -> admitBody(backend, call, permit));
         });
     }
 
+    private Single<FairQueue.Permit> admitBody(LocalBackend backend, BackendCall call, FairQueue.Permit permit) {
+        if (!RequestCheck.hasBody(call.request())) {
+            return succeeded(permit);
+        }
+        long length = RequestCheck.bodyLength(call.request());
+        boolean isKnown = length < Long.MAX_VALUE;
+        Optional<RequestBytes.Body> body =
+                backend.work().requestBytes().tryAdmit(isKnown ? length : 0, maxRequestBytes);
+        if (body.isEmpty()) {
+            permit.release();
+            long waitNanos = backend.queue().estimatedWaitMillis() * NANOS_PER_MILLI;
+            QueueRefusal r = new QueueRefusal(ErrorCode.QUEUE_FULL, waitNanos, 0, expectedNanos(backend, call));
+            return failed(
+                    refusal(backend, call, r, "the requests that the backend server runs leave no room for the body"));
+        }
+        permit.onRelease(body.get()::release);
+        if (!isKnown) {
+            call.request()
+                    .transformPayloadBody(b -> b.beforeOnNext(part -> body.get().add(part.readableBytes())));
+        }
+        return succeeded(permit);
+    }
+
     private Single<FairQueue.Permit> waitForSlot(LocalBackend backend, BackendCall call) {
         SingleSource.Processor<FairQueue.Permit, FairQueue.Permit> result = newSingleProcessor();
         SlotRequest s = new SlotRequest();
--- a/daemon/src/test/java/io/fuchsiastand/daemon/RawBackendServer.java
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/RawBackendServer.java
@@ -150,7 +150,9 @@
         }
         String head = b.toString().toLowerCase(Locale.ROOT);
         if (head.contains("transfer-encoding: chunked")) {
-            while (b.indexOf("\r\n0\r\n") < 0 || !b.toString().endsWith("\r\n\r\n")) {
+            while (b.charAt(b.length() - 1) != '\n'
+                    || b.indexOf("\r\n0\r\n") < 0
+                    || !b.toString().endsWith("\r\n\r\n")) {
                 b.append((char) in.read());
             }
         } else if (head.contains("content-length: ")) {
--- a/daemon/src/test/java/io/fuchsiastand/daemon/owner/SlotAdmissionTest.java
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/owner/SlotAdmissionTest.java
@@ -50,7 +50,8 @@
             metrics,
             new RequestAdmission(false, clock, HeaderConventions.DEFAULT, new RequestLog(clock), metrics),
             Executors.global(),
-            new Random(1));
+            new Random(1),
+            Long.MAX_VALUE);
 
     @Test
     void callThatCanGoElsewhereIsRefusedAtOnceAndWaitsIfNoOtherBackendServerIsLeft() throws Exception {
