--- a/daemon/src/main/java/io/fuchsiastand/daemon/owner/SlotAdmission.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/owner/SlotAdmission.java
@@ -129,15 +129,19 @@
     }
 
     // A call for which no other backend server is left waits as long as it can still finish by its deadline.
+    private static boolean waitsAsLastResort(LocalBackend backend, BackendCall call) {
+        return backend.queue().order() == QueueOrder.DUE_DATE && call.lastResort();
+    }
+
     private static long maxWaitNanos(LocalBackend backend, BackendCall call, long now) {
         long left = call.deadline() - now;
-        return backend.queue().order() == QueueOrder.DUE_DATE && call.lastResort()
+        return waitsAsLastResort(backend, call)
                 ? left - expectedNanos(backend, call)
                 : (long) (MAX_QUEUE_WAIT_SHARE * left);
     }
 
     private RefusalException refusalAfterWait(LocalBackend backend, BackendCall call, Submission s) {
-        boolean wasLastResort = backend.queue().order() == QueueOrder.DUE_DATE && call.lastResort();
+        boolean wasLastResort = waitsAsLastResort(backend, call);
         ErrorCode code = wasLastResort ? ErrorCode.DEADLINE_NOT_RUN : ErrorCode.QUEUE_FULL;
         String detail = wasLastResort
                 ? "the call got no slot in time to finish by its deadline"
