Look up the usual cost of a call once for an attempt

The cost was looked up for the choice of a backend server, for the record of the call there and for the owner. Each attempt now looks it up when it starts. The tests of the choice by expected work pass.

--- a/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/CallAttempts.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/CallAttempts.java
@@ -52,6 +52,10 @@
     private int queuesAsked;
     // Whether the request is sent to the last resort candidate, regardless of its circuit breaker.
     boolean lastResort;
+    // The usual cost of the call when the current attempt started, in milliseconds of slot time. It is 0 if it is
+    // unknown
+    // or if candidates are chosen by the number of calls.
+    double usualMillis;
     // Whether the current attempt is a trial call to a backend server that is out of rotation.
     boolean trial;
     // The shortest time, in milliseconds, until a backend server takes a call that its daemon refused; 0 if unknown.
--- a/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/Dispatcher.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/Dispatcher.java
@@ -214,6 +214,7 @@
 
     private Single<StreamingHttpResponse> nextAttempt(CallAttempts a) {
         a.attempts++;
+        a.usualMillis = work.usualMillis(a.kind);
         if (a.routed.deadline() - board.clock().nanoTime() <= NANOS_PER_MILLI) {
             return failed(RefusalException.notSent(ErrorCode.DEADLINE_NOT_RUN, ErrorCode.DEADLINE_NOT_RUN.title(), 0));
         }
@@ -230,7 +231,7 @@
         if (a.lastResort) {
             log.write("last resort", idOf(a), "server", c.server().id(), "suspicion", a.minFaultProbability);
         }
-        work.begin(a.kind, c);
+        work.begin(a, c);
         Attempt attempt = new Attempt(c, a.trial, board.clock());
         return defer(() -> send(a, c))
                 .beforeCancel(attempt::endWithoutResult)
@@ -256,7 +257,7 @@
                 x.deadline(),
                 x.target(),
                 a.kind,
-                work.usualMillis(a.kind),
+                a.usualMillis,
                 baseline(a.service).latest(),
                 request);
         if (c.host().equals(board.settings().host())) {
--- a/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/WorkReports.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/WorkReports.java
@@ -36,12 +36,12 @@
 
     Optional<Candidate> pick(CallAttempts a) {
         return board.directory()
-                .pick(a.service, a.tried, a.maxLocalUtilisation(), usualMillis(a.kind), ThreadLocalRandom.current());
+                .pick(a.service, a.tried, a.maxLocalUtilisation(), a.usualMillis, ThreadLocalRandom.current());
     }
 
-    void begin(WorkKind kind, Candidate c) {
+    void begin(CallAttempts a, Candidate c) {
         if (isOn) {
-            c.begin(usualMillis(kind), board.clock().nanoTime());
+            c.begin(a.usualMillis, board.clock().nanoTime());
         } else {
             c.begin();
         }
