Log a wait at the shortest queue apart from a last resort

The line "last resort" was also written for a call that no backend server was left for because their queues were full, with a suspicion that said nothing. Such a call now logs "shortest queue" with the expected wait. The tests of attempts tell the two apart.

--- a/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/CallAttempts.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/CallAttempts.java
@@ -7,6 +7,7 @@
 import io.fuchsiastand.daemon.edge.RoutedRequest;
 import io.fuchsiastand.daemon.http.RefusalException;
 import io.fuchsiastand.daemon.http.RequestCheck;
+import io.fuchsiastand.daemon.metrics.RequestLog;
 import io.fuchsiastand.error.ErrorCode;
 import io.fuchsiastand.retry.RetryBudget;
 import io.fuchsiastand.routing.Candidate;
@@ -45,16 +46,17 @@
     RefusalException lastRefusal;
     // Of the candidates whose circuit breaker rejected the request, the one with the lowest probability of a fault.
     private Candidate lastResortCandidate;
-    double minFaultProbability = 1;
+    private double minFaultProbability = 1;
     // Of the candidates whose queues would let the request wait too long, the one with the shortest expected wait.
     private Candidate shortestQueue;
     private long shortestQueueMillis;
     private int queuesAsked;
-    // Whether the request is sent to the last resort candidate, regardless of its circuit breaker.
+    // Whether no other candidate is left: the request is sent to the last resort candidate, regardless of its circuit
+    // breaker, or it waits at the shortest queue.
     boolean lastResort;
-    // The usual cost of the call when the current attempt started, in milliseconds of slot time. It is 0 if it is
-    // unknown
-    // or if candidates are chosen by the number of calls.
+    boolean waitsAtShortestQueue;
+    // The usual cost of the call when the current attempt started, in milliseconds of slot time; 0 if it is unknown, or
+    // if candidates are chosen by the number of calls.
     double usualMillis;
     // Whether the current attempt is a trial call to a backend server that is out of rotation.
     boolean trial;
@@ -167,6 +169,7 @@
     Optional<Candidate> takeLastResort() {
         if (canWait()) {
             lastResort = true;
+            waitsAtShortestQueue = true;
             return Optional.of(shortestQueue);
         }
         if (!hasLastResort()) {
@@ -176,6 +179,16 @@
         return Optional.of(lastResortCandidate);
     }
 
+    // Logs why the request goes to a candidate that no other one is preferred to.
+    void logLastResort(RequestLog log, CharSequence requestId, Candidate c) {
+        String server = c.server().id();
+        if (waitsAtShortestQueue) {
+            log.write("shortest queue", requestId, "server", server, "wait ms", shortestQueueMillis);
+        } else {
+            log.write("last resort", requestId, "server", server, "suspicion", minFaultProbability);
+        }
+    }
+
     // The answer to a request that was refused after an attempt that failed at a backend server.
     static RefusalException failedBefore(String lastRefusal, Throwable cause) {
         return RefusalException.mayHaveRun(
--- a/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/Dispatcher.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/Dispatcher.java
@@ -229,7 +229,7 @@
         Candidate c = picked.get();
         a.tried.add(c);
         if (a.lastResort) {
-            log.write("last resort", idOf(a), "server", c.server().id(), "suspicion", a.minFaultProbability);
+            a.logLastResort(log, idOf(a), c);
         }
         work.begin(a, c);
         Attempt attempt = new Attempt(c, a.trial, board.clock());
--- a/daemon/src/test/java/io/fuchsiastand/daemon/dispatch/CallAttemptsTest.java
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/dispatch/CallAttemptsTest.java
@@ -28,7 +28,7 @@
     private static final Duration TIMEOUT = Duration.ofSeconds(6);
 
     private final ManualClock clock = new ManualClock();
-    private final CallAttempts attempts = newAttempts();
+    private final CallAttempts attempts = newAttempts(Idempotency.NEVER);
 
     // Load pattern: burst over the room of a service with few backend servers.
     @Test
@@ -42,6 +42,7 @@
         assertThat(attempts.tryRetry(true, true)).isTrue();
         assertThat(attempts.takeLastResort().orElseThrow().host()).isEqualTo("b");
         assertThat(attempts.lastResort).isTrue();
+        assertThat(attempts.waitsAtShortestQueue).isTrue();
 
         assertThat(attempts.tryRetry(true, true)).isFalse();
         assertThat(attempts.takeLastResort()).isEmpty();
@@ -53,8 +54,18 @@
         assertThat(attempts.takeLastResort()).isEmpty();
     }
 
-    private CallAttempts newAttempts() {
-        Route route = Route.of("*", "/menu", false, Idempotency.NEVER);
+    @Test
+    void anIdempotentRequestThatEachCircuitBreakerRejectsWaitsAtNoQueue() {
+        CallAttempts a = newAttempts(Idempotency.ALWAYS);
+        a.recordFaultProbability(candidate("a"), 0.6);
+        a.recordFaultProbability(candidate("b"), 0.7);
+        assertThat(a.takeLastResort().orElseThrow().host()).isEqualTo("a");
+        assertThat(a.lastResort).isTrue();
+        assertThat(a.waitsAtShortestQueue).isFalse();
+    }
+
+    private CallAttempts newAttempts(Idempotency idempotency) {
+        Route route = Route.of("*", "/menu", false, idempotency);
         Service service = new Service("menu", 0, TIMEOUT, 16, Detection.CAREFUL, List.of(route));
         RoutedRequest routed = new RoutedRequest(
                 new DefaultStreamingHttpRequestResponseFactory(
