Find free ports in one place

Rehearsal and the settings of the platform's tests had the same code. FreePorts has it now. Behaviour is unchanged; RehearsalTest and DrainWithoutConfigurationTest pass.

--- a/daemon/src/main/java/io/fuchsiastand/daemon/Rehearsal.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/Rehearsal.java
@@ -2,12 +2,10 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -75,7 +73,7 @@
         Request[] requests = Json.read(Files.readAllBytes(directory.resolve("requests.json")), Request[].class);
         try (ServerContext platform = transport.plainServer(this::answerAsPlatform);
                 ServerContext backend = transport.plainServer(Rehearsal::answerAsBackend)) {
-            List<Integer> free = freePorts(2 * PORTS);
+            List<Integer> free = FreePorts.find(2 * PORTS);
             Settings first = settings(base, base.host(), free.subList(0, PORTS), platform, free.get(PORTS + 2));
             Settings second =
                     settings(base, base.host() + "-peer", free.subList(PORTS, 2 * PORTS), platform, free.get(2));
@@ -200,19 +198,4 @@
     private static int port(ServerContext server) {
         return ((InetSocketAddress) server.listenAddress()).getPort();
     }
-
-    // Holds all ports until the last one is found, since a port that is released at once can be given out again.
-    private static List<Integer> freePorts(int count) throws IOException {
-        List<ServerSocket> sockets = new ArrayList<>();
-        try {
-            for (int i = 0; i < count; i++) {
-                sockets.add(new ServerSocket(0));
-            }
-            return sockets.stream().map(ServerSocket::getLocalPort).toList();
-        } finally {
-            for (ServerSocket s : sockets) {
-                s.close();
-            }
-        }
-    }
 }
