Share the set-up of tests that write calls as bytes

StatusLineTest and TruncatedMessageTest had the same fleet, backend server, reset and exchange. RawCalls has them now.

--- a/daemon/src/test/java/io/fuchsiastand/daemon/StatusLineTest.java
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/StatusLineTest.java
@@ -1,8 +1,5 @@
 package io.fuchsiastand.daemon;
 
-import java.io.IOException;
-import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.util.List;
 
 import org.junit.jupiter.api.AfterAll;
@@ -18,41 +15,27 @@
 @TestInstance(TestInstance.Lifecycle.PER_CLASS)
 class StatusLineTest {
 
-    private static final String POST = "POST /menu HTTP/1.1\r\nhost: any\r\nconnection: close\r\nauthorization: Bearer "
-            + Fleet.ZERMATT_KEY + "\r\ncontent-length: 0\r\n\r\n";
     private static final String REST = "\r\ncontent-length: 2\r\n\r\nok";
     // An interim response that is repeated this often exceeds the limit of a header section.
     private static final int MANY = 10_000;
 
-    private Fleet fleet;
+    private RawCalls calls;
     private RawBackendServer backend;
 
     @BeforeAll
     void start() throws Exception {
-        fleet = new Fleet(2);
-        backend = new RawBackendServer();
-        fleet.announce(0, "raw", "menu", backend.port());
+        calls = new RawCalls();
+        backend = calls.backend;
     }
 
     @AfterAll
     void stop() throws Exception {
-        fleet.close();
-        backend.close();
+        calls.close();
     }
 
-    // After a failed call, the circuit breaker rejects calls that must not be repeated for a short time.
     @BeforeEach
     void reset() throws Exception {
-        backend.response = RawBackendServer.LAST_RESPONSE;
-        Fleet.await("a call succeeds", () -> {
-            try {
-                return exchange().startsWith("HTTP/1.1 200");
-            } catch (IOException e) {
-                return false;
-            }
-        });
-        Fleet.await("the backend server has closed its connections", () -> backend.openConnections.get() == 0);
-        backend.events.clear();
+        calls.reset();
     }
 
     private static List<String> statusLinesWithoutAStatus() {
@@ -95,14 +78,14 @@
     @MethodSource("statusLinesWithoutAStatus")
     void answers502WhenAResponseHasNoStatusOfHttp(String statusLine) throws Exception {
         backend.response = statusLine + REST;
-        assertMayHaveRun(exchange());
+        assertMayHaveRun(calls.exchange(RawCalls.POST));
     }
 
     @ParameterizedTest
     @MethodSource("interimResponsesThatAreNotAllowed")
     void answers502WhenAnInterimResponseIsNotAllowed(String response) throws Exception {
         backend.response = response;
-        assertMayHaveRun(exchange());
+        assertMayHaveRun(calls.exchange(RawCalls.POST));
     }
 
     private void assertMayHaveRun(String answer) throws Exception {
@@ -110,14 +93,6 @@
         assertThat(answer).contains("fuchsiastand-run-state: unknown");
         assertThat(answer).doesNotContain("\r\n\r\nok");
         assertThat(backend.events.stream().filter(e -> e.startsWith("POST"))).hasSize(1);
-        Fleet.await("the connection is closed", () -> backend.openConnections.get() == 0);
-    }
-
-    private String exchange() throws IOException {
-        try (Socket s = new Socket("127.0.0.1", fleet.settings.get(1).ports().callers())) {
-            s.setSoTimeout(10_000);
-            s.getOutputStream().write(POST.getBytes(StandardCharsets.ISO_8859_1));
-            return new String(s.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
-        }
+        calls.awaitNoConnections();
     }
 }
--- a/daemon/src/test/java/io/fuchsiastand/daemon/TruncatedMessageTest.java
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/TruncatedMessageTest.java
@@ -1,6 +1,5 @@
 package io.fuchsiastand.daemon;
 
-import java.io.IOException;
 import java.net.Socket;
 import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
@@ -36,39 +35,23 @@
 @TestInstance(TestInstance.Lifecycle.PER_CLASS)
 class TruncatedMessageTest {
 
-    private static final String AUTH = "authorization: Bearer " + Fleet.ZERMATT_KEY + "\r\n";
-    private static final String FIELDS = "host: any\r\nconnection: close\r\n" + AUTH;
-    private static final String POST = "POST /menu HTTP/1.1\r\n" + FIELDS + "content-length: 0\r\n\r\n";
-
-    private Fleet fleet;
+    private RawCalls calls;
     private RawBackendServer backend;
 
     @BeforeAll
     void start() throws Exception {
-        fleet = new Fleet(2);
-        backend = new RawBackendServer();
-        fleet.announce(0, "raw", "menu", backend.port());
+        calls = new RawCalls();
+        backend = calls.backend;
     }
 
     @AfterAll
     void stop() throws Exception {
-        fleet.close();
-        backend.close();
+        calls.close();
     }
 
-    // After a failed call, the circuit breaker rejects calls that must not be repeated for a short time.
     @BeforeEach
     void reset() throws Exception {
-        backend.response = RawBackendServer.LAST_RESPONSE;
-        Fleet.await("a call succeeds", () -> {
-            try {
-                return exchange(POST).startsWith("HTTP/1.1 200");
-            } catch (IOException e) {
-                return false;
-            }
-        });
-        Fleet.await("the backend server has closed its connections", () -> backend.openConnections.get() == 0);
-        backend.events.clear();
+        calls.reset();
     }
 
     private static List<String> incompleteHeads() {
@@ -98,7 +81,7 @@
     @MethodSource("incompleteHeads")
     void answers502WhenTheHeadOfAResponseIsNotComplete(String start) throws Exception {
         backend.response = start;
-        String answer = exchange(POST);
+        String answer = calls.exchange(RawCalls.POST);
 
         assertThat(answer).startsWith("HTTP/1.1 502");
         assertThat(answer).contains("fuchsiastand-run-state: unknown");
@@ -148,7 +131,7 @@
             })
     void passesOnAnIncompleteChunkedBodyWithoutItsEnd(String body) throws Exception {
         backend.response = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n" + body;
-        String answer = exchange(POST);
+        String answer = calls.exchange(RawCalls.POST);
 
         assertThat(answer).doesNotContain("\r\n0\r\n\r\n");
         assertThat(answer).doesNotContain("content-length: 5\r\n");
@@ -160,14 +143,14 @@
     @ParameterizedTest
     @ValueSource(
             strings = {
-                "POST /menu HTTP/1.1\r\nhost: any\r\n" + AUTH,
-                "POST /menu HTTP/1.1\r\nhost: any\r\n" + AUTH + "content-length: 0\r\n",
-                "POST /menu HTTP/1.1\r\nhost: any\r\n" + AUTH + "content-length: 0\r\n\r",
-                "POST /menu HTTP/1.1\r\nhost: any\r\n" + AUTH + "content-length: 5\r\n\r\nsuga",
-                "GET /menu HTTP/1.1\r\nhost: any\r\n" + AUTH + "x-a: 1"
+                "POST /menu HTTP/1.1\r\nhost: any\r\n" + RawCalls.AUTH,
+                "POST /menu HTTP/1.1\r\nhost: any\r\n" + RawCalls.AUTH + "content-length: 0\r\n",
+                "POST /menu HTTP/1.1\r\nhost: any\r\n" + RawCalls.AUTH + "content-length: 0\r\n\r",
+                "POST /menu HTTP/1.1\r\nhost: any\r\n" + RawCalls.AUTH + "content-length: 5\r\n\r\nsuga",
+                "GET /menu HTTP/1.1\r\nhost: any\r\n" + RawCalls.AUTH + "x-a: 1"
             })
     void runsNoRequestWhoseCallerClosesTheConnectionBeforeItsEnd(String start) throws Exception {
-        try (Socket s = connect()) {
+        try (Socket s = calls.connect()) {
             s.getOutputStream().write(start.getBytes(StandardCharsets.ISO_8859_1));
             s.shutdownOutput();
             s.getInputStream().readAllBytes();
@@ -183,7 +166,7 @@
         backend.response = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n";
         backend.resetsConnections = true;
         try {
-            assertThat(exchange(POST)).startsWith("HTTP/1.1 502");
+            assertThat(calls.exchange(RawCalls.POST)).startsWith("HTTP/1.1 502");
         } finally {
             backend.resetsConnections = false;
         }
@@ -194,22 +177,9 @@
         backend.response = "HTTP/1.1 200 OK\r\n\r\nhalf";
         backend.resetsConnections = true;
         try {
-            assertThat(exchange(POST)).doesNotContain("\r\n0\r\n");
+            assertThat(calls.exchange(RawCalls.POST)).doesNotContain("\r\n0\r\n");
         } finally {
             backend.resetsConnections = false;
         }
     }
-
-    private String exchange(String request) throws IOException {
-        try (Socket s = connect()) {
-            s.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
-            return new String(s.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
-        }
-    }
-
-    private Socket connect() throws IOException {
-        Socket s = new Socket("127.0.0.1", fleet.settings.get(1).ports().callers());
-        s.setSoTimeout(10_000);
-        return s;
-    }
 }
