Answer requests whose connection is dropped for room

A caller whose connection was closed because the host had no room got a reset, whether its request had run or not. Nothing is sent after a response has begun, nor to a caller that does not read. The connection is closed without a reset after a response of the guard, and the log names the address of the caller.

Both cases of answersARequestWhoseConnectionIsDroppedForRoom fail on the code before (connection reset) and pass now, as do ConnectionGuardTest, EndlessRequestTest, HttpFramingTest, RefusalDuringBodyTest and MessageSizeLimitTest.

--- a/core/src/main/java/io/fuchsiastand/error/ErrorCode.java
+++ b/core/src/main/java/io/fuchsiastand/error/ErrorCode.java
@@ -41,6 +41,11 @@
     PEER_FAILED("FS-5021", 502, "The daemon of the backend server failed while it handled the request"),
     /** The daemon ended before it had a response to the request, which may run. */
     STOPPED("FS-5022", 502, "This daemon ended before the request was answered"),
+    /**
+     * The daemon dropped the connection of a caller that exceeds a limit, or holds more memory than others when the host has no
+     * room, before it had a response to the request, which may run.
+     */
+    DROPPED("FS-5023", 502, "This daemon closed the connection before the request was answered"),
     /**
      * No backend server of the service is in rotation, or the chosen one is draining, gone or unreachable, or takes no
      * connection.
--- a/daemon/src/main/java/io/fuchsiastand/daemon/http/ConnectionGuard.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/http/ConnectionGuard.java
@@ -274,9 +274,38 @@
         respondAndClose(context, code, detail, HeaderNames.NOT_RUN);
     }
 
+    /**
+     * Responds to the current request and closes the connection, unless there is no request or its response has begun. A
+     * request whose header fields are incomplete has not run; any other one may have.
+     *
+     * @param context the context of a handler that is before the decoder
+     * @param code the code for a request that has not run
+     * @param detail its description
+     * @param mayRun whether the header fields are complete
+     * @return false if there is nothing to respond to
+     */
+    boolean tryRespondAndClose(ChannelHandlerContext context, ErrorCode code, String detail, boolean mayRun) {
+        if (phase == Phase.READING_FIELDS && !mayRun) {
+            rejectAndClose(context, code, detail);
+        } else if (phase == Phase.READING_FIELDS || (phase == Phase.HANDLING && !responseStarted)) {
+            respondAndClose(context, ErrorCode.DROPPED, detail, HeaderNames.UNKNOWN);
+        } else {
+            return false;
+        }
+        if (context.channel().isActive()) {
+            // The caller does not read: what it holds is released without the response.
+            context.close();
+        }
+        return true;
+    }
+
     private void respondAndClose(ChannelHandlerContext context, ErrorCode code, String detail, String runState) {
         enterPhase(Phase.ENDED);
-        Logger.info("{} closing the connection of a caller: {}", code.code(), detail);
+        Logger.info(
+                "{} closing the connection of the caller {}: {}",
+                code.code(),
+                context.channel().remoteAddress(),
+                detail);
         RequestSizeLimit.respondAndClose(context, code, detail, runState);
     }
 
--- a/daemon/src/main/java/io/fuchsiastand/daemon/http/RequestSizeLimit.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/http/RequestSizeLimit.java
@@ -7,7 +7,6 @@
 import io.fuchsiastand.http.MessageSizeLimit;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.servicetalk.transport.api.ConnectionInfo;
 import io.servicetalk.transport.netty.internal.NettyConnectionContext;
@@ -44,9 +43,32 @@
         }
     }
 
-    private static void close(ChannelHandlerContext context, MessageSizeLimit.Part part, String problem) {
-        Logger.info("{} closing a connection: {}", codeOf(part).code(), problem);
-        MessageSizeLimit.close(context, part, problem);
+    /**
+     * Sets the limit on a connection of a caller, whose requests are forwarded part by part. {@link ConnectionGuard} answers
+     * what can be answered before it closes the connection.
+     *
+     * @param connection the connection, which has a guard
+     * @param limits the limits
+     */
+    static void installForCallers(ConnectionInfo connection, MessageLimits limits) {
+        if (connection instanceof NettyConnectionContext c) {
+            MessageSizeLimit.install(c.nettyChannel().pipeline(), limits, (context, part, problem, mayRun) -> {
+                ConnectionGuard guard = context.pipeline().get(ConnectionGuard.class);
+                if (!guard.tryRespondAndClose(context, codeOf(part), problem, mayRun)) {
+                    close(context, part, problem, mayRun);
+                }
+            });
+        }
+    }
+
+    private static void close(
+            ChannelHandlerContext context, MessageSizeLimit.Part part, String problem, boolean mayRun) {
+        Logger.info(
+                "{} closing the connection of {}: {}",
+                codeOf(part).code(),
+                context.channel().remoteAddress(),
+                problem);
+        MessageSizeLimit.close(context, part, problem, mayRun);
     }
 
     private static ErrorCode codeOf(MessageSizeLimit.Part part) {
@@ -57,14 +79,19 @@
         };
     }
 
-    private static void reject(ChannelHandlerContext context, MessageSizeLimit.Part part, String problem) {
+    private static void reject(
+            ChannelHandlerContext context, MessageSizeLimit.Part part, String problem, boolean mayRun) {
         if (part == MessageSizeLimit.Part.SHARE) {
             // The request may be complete and run.
-            close(context, part, problem);
+            close(context, part, problem, mayRun);
             return;
         }
         ErrorCode code = codeOf(part);
-        Logger.info("{} closing a connection: {}", code.code(), problem);
+        Logger.info(
+                "{} closing the connection of {}: {}",
+                code.code(),
+                context.channel().remoteAddress(),
+                problem);
         respondAndClose(context, code, problem, HeaderNames.NOT_RUN);
     }
 
@@ -85,6 +112,6 @@
                 + "connection: close\r\n"
                 + "content-length: " + body.length + "\r\n\r\n";
         ByteBuf response = Unpooled.wrappedBuffer(head.getBytes(StandardCharsets.US_ASCII), body);
-        context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+        context.writeAndFlush(response).addListener(f -> context.close());
     }
 }
--- a/daemon/src/main/java/io/fuchsiastand/daemon/http/Transport.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/http/Transport.java
@@ -148,7 +148,7 @@
             CallerConnections connections) {
         HttpServerBuilder b = server(port).appendLateConnectionAcceptor(c -> {
             ConnectionGuard.install(c, limits, clock, connections);
-            RequestSizeLimit.installForForwarding(
+            RequestSizeLimit.installForCallers(
                     c, messageLimits(MAX_FORWARDED_SECTION_BYTES, () -> MessageSizeLimit.UNLIMITED));
             return Completable.completed();
         });
--- a/daemon/src/test/java/io/fuchsiastand/daemon/http/EndlessRequestTest.java
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/http/EndlessRequestTest.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 
 import io.fuchsiastand.config.RequestLimits;
+import io.fuchsiastand.daemon.board.MemoryLimits;
 import io.fuchsiastand.time.Clock;
 import io.servicetalk.concurrent.api.Single;
 import io.servicetalk.http.api.HttpServiceContext;
@@ -19,6 +20,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -100,6 +102,30 @@
         }
     }
 
+    // Guards against connections that are dropped for room without an answer. The second connection of two that hold a
+    // nearly full head exceeds the room.
+    @ParameterizedTest
+    @CsvSource({"'', HTTP/1.1 503 , not-run", "'\r\n', HTTP/1.1 502 , unknown"})
+    void answersARequestWhoseConnectionIsDroppedForRoom(String end, String status, String runState) throws Exception {
+        MemoryLimits d = MemoryLimits.DEFAULT;
+        MemoryLimits small = new MemoryLimits(d.headerFields(), 1_000_000, d.backendRequestBytes(), d.maxUnread());
+        String head = "GET /x HTTP/1.1\r\nhost: a\r\n" + "a:\r\n".repeat(2_000);
+        try (Transport t = new Transport(Optional.empty(), small);
+                ServerContext callers = t.callerServer(
+                        0, (c, r, f) -> Single.never(), () -> LIMITS, Clock.system(), new CallerConnections());
+                Socket first = connect(callers);
+                Socket second = connect(callers)) {
+            first.getOutputStream().write((head + "a:\r\n" + end).getBytes(StandardCharsets.US_ASCII));
+            while (t.buffer().heldBytes() < 640_000) {
+                Thread.sleep(5);
+            }
+            second.getOutputStream().write((head + end).getBytes(StandardCharsets.US_ASCII));
+            String answer = new String(first.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+            assertThat(answer).startsWith(status);
+            assertThat(answer).contains("fuchsiastand-run-state: " + runState);
+        }
+    }
+
     private static Single<StreamingHttpResponse> readBody(
             HttpServiceContext context, StreamingHttpRequest request, StreamingHttpResponseFactory factory) {
         return request.messageBody().ignoreElements().concat(Single.succeeded(factory.ok()));
--- a/store/src/main/java/io/fuchsiastand/http/MessageSizeLimit.java
+++ b/store/src/main/java/io/fuchsiastand/http/MessageSizeLimit.java
@@ -88,8 +88,9 @@
          * @param context the context of a handler that is before the decoder
          * @param part the part of the message that is too long
          * @param problem the description of the excess
+         * @param mayRun whether the connection has passed on a request to which no response has begun
          */
-        void reject(ChannelHandlerContext context, Part part, String problem);
+        void reject(ChannelHandlerContext context, Part part, String problem, boolean mayRun);
     }
 
     /**
@@ -123,8 +124,9 @@
      * @param context the context of a handler that is before the decoder
      * @param part the part of the message that is too long
      * @param problem the description of the excess
+     * @param mayRun whether a request of the connection may run
      */
-    public static void close(ChannelHandlerContext context, Part part, String problem) {
+    public static void close(ChannelHandlerContext context, Part part, String problem, boolean mayRun) {
         context.fireExceptionCaught(new TooLongFrameException(problem));
         context.close();
     }
@@ -140,7 +142,7 @@
     private void reject(Part part, String problem) {
         if (!exceeded) {
             exceeded = true;
-            rejection.reject(firstContext, part, problem);
+            rejection.reject(firstContext, part, problem, !openRequests.isEmpty());
         }
     }
 
