Hold bodies in chunks to the limit of the configuration

max_body_bytes applied only to bodies with a length: one in chunks could be as long as the deadline allows, and backend servers had to take it. It is now cut off at the limit, and its caller gets 413 (may have run). A request body that does not end no longer counts as a failure of the backend server.

Both cases of refusesABodyInChunksThatIsLongerThanTheConfigurationAllows fail on the code before (504) and pass now, as do UploadTest, RefusalDuringBodyTest and TruncatedMessageTest.

--- a/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/Dispatcher.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/Dispatcher.java
@@ -282,7 +282,8 @@
     }
 
     private Single<StreamingHttpResponse> onError(CallAttempts a, Attempt attempt, Throwable e) {
-        if (e instanceof RefusalException r && r.code() == ErrorCode.NO_ROOM_FOR_CALLS) {
+        if (e instanceof RefusalException r
+                && (r.code() == ErrorCode.NO_ROOM_FOR_CALLS || r.code() == ErrorCode.BODY_TOO_LARGE)) {
             attempt.endWithoutResult();
             return failed(r);
         }
--- a/daemon/src/main/java/io/fuchsiastand/daemon/edge/CallerService.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/edge/CallerService.java
@@ -125,7 +125,7 @@
                 bodyRead.set(true);
                 ConnectionGuard.endRequestBody(context);
             }));
-            RequestBodyDrain.install(
+            RequestBodyDrain.installWithLimit(
                     request,
                     board.configuration().get().configuration().limits().bodyBytes());
         }
--- a/daemon/src/main/java/io/fuchsiastand/daemon/owner/OwnerService.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/owner/OwnerService.java
@@ -297,7 +297,9 @@
             ReservedStreamingHttpConnection connection,
             CharSequence requestId) {
         ConnectionUse use = new ConnectionUse(connection);
-        StreamingHttpRequest request = call.request().transformMessageBody(b -> b.beforeOnComplete(use::requestSent));
+        // A body that the caller does not finish is no failure of the backend server.
+        StreamingHttpRequest request = call.request().transformMessageBody(b -> b.beforeOnComplete(use::requestSent)
+                .beforeOnError(e -> c.end(Outcome.CANCELLED)));
         return connection
                 .request(request)
                 .timeout(Duration.ofNanos(Math.max(1, call.deadline() - clock.nanoTime())), timer)
@@ -379,6 +381,9 @@
 
     private static Throwable endAfterExchangeError(LocalBackend.InFlightCall c, Throwable e) {
         c.end(Outcome.FAILURE);
+        if (e instanceof RefusalException) {
+            return e;
+        }
         if (e instanceof RetryableException || e instanceof ConnectException) {
             return RefusalException.notSent(
                     ErrorCode.NO_BACKEND, "the connection to the backend server closed before the call was sent", 0);
