--- a/daemon/src/main/java/io/fuchsiastand/daemon/http/Transport.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/http/Transport.java
@@ -147,7 +147,7 @@
             CallerConnections connections) {
         HttpServerBuilder b = server(port).appendLateConnectionAcceptor(c -> {
             ConnectionGuard.install(c, limits, clock, connections);
-            RequestSizeLimit.installForForwarding(c, messageLimits(MAX_FORWARDED_SECTION_BYTES));
+            RequestSizeLimit.installForCallers(c, messageLimits(MAX_FORWARDED_SECTION_BYTES));
             return Completable.completed();
         });
         return listen(b, port, service);
