Send records once to each other data centre, and once to each neighbour

Cause: gossip of records knew neither data centres nor who has a record already.

The host that a record belongs to sends it to one host of each other data centre until one acknowledges it; the two relays of a data centre do so for records that belong to no host. Within a data centre a daemon sends a record to each neighbour once and never back to where it came from. A daemon that joins compares its records within its data centre first; the first relay of each data centre compares them with other data centres every second and so finds what did not cross.

--- a/bench/src/main/java/io/fuchsiastand/bench/capacity/Dissemination.java
+++ b/bench/src/main/java/io/fuchsiastand/bench/capacity/Dissemination.java
@@ -116,10 +116,11 @@
         }
         Gossip target = daemons.get(indexByHost.get(to.host()));
         boolean senderKnown = target.receive(request);
-        ProbeReply reply = target.createReply(true, senderKnown);
+        ProbeReply reply = target.createReply(request.getFrom(), true, senderKnown);
         count(reply.getSerializedSize());
         if (random.nextDouble() >= loss) {
-            from.receive(reply.getUpdatesList(), reply.getRecordsList());
+            from.onReply(to, request, reply);
+            from.receive(to.host(), reply.getUpdatesList(), reply.getRecordsList());
         }
     }
 
--- a/core/src/main/java/io/fuchsiastand/replication/RecordStore.java
+++ b/core/src/main/java/io/fuchsiastand/replication/RecordStore.java
@@ -3,10 +3,12 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
@@ -24,8 +26,8 @@
  * chunk, the index or the version), or a record that a daemon creates (the record of its host, or the withdrawal of a team
  * key). It has a name and a version. The higher version wins: a store replaces a record only by a newer one.
  *
- * <p>New records spread as gossip updates on probes and their replies; each daemon sends a record a limited number of
- * times. An anti-entropy exchange with a random neighbour compares one hash per bucket and transfers the records that
+ * <p>New records spread as gossip updates on probes and their replies; a daemon sends a record to each host once, and not
+ * to those that it got it from. An anti-entropy exchange with a random neighbour compares one hash per bucket and transfers the records that
  * gossip did not deliver. A content-addressed record ({@link #isContentAddressed}) takes part in neither: a daemon that
  * needs it requests it from a neighbour by name.
  *
@@ -41,13 +43,14 @@
     private static final String CONTENT_PREFIX = "chunk/";
     private static final int MAX_GOSSIP_BYTES = 16_384;
     private static final int MAX_SYNC_BYTES = 1_000_000;
-    private static final int TRANSMISSIONS_PER_RECORD = 4;
 
     private final Map<Integer, Map<String, Record>> buckets = new HashMap<>();
     private final Map<String, Record> contentRecords = new HashMap<>();
     private final long[] hashes = new long[BUCKETS];
-    private final Map<String, Integer> remainingTransmissions = new LinkedHashMap<>();
+    // The names of the records to send on, with the hosts that have them: they sent them, or they got them from here.
+    private final Map<String, Set<String>> gossipHolders = new LinkedHashMap<>();
     private final List<Consumer<Record>> listeners = new ArrayList<>();
+    private final List<Consumer<Record>> gossipListeners = new ArrayList<>();
     private Predicate<String> nameFilter = name -> true;
 
     /**
@@ -59,6 +62,15 @@
         listeners.add(listener);
     }
 
+    /**
+     * Registers a listener for the stored records that are queued as gossip updates.
+     *
+     * @param listener called with each record, on the thread that stores it
+     */
+    public synchronized void listenGossip(Consumer<Record> listener) {
+        gossipListeners.add(listener);
+    }
+
     /**
      * Sets the filter that decides by name which records are stored. Without a filter, this daemon would store the record
      * of a removed host again when a peer that still has it sends it.
@@ -78,7 +90,18 @@
      * @return true if the record was stored
      */
     public boolean put(Record record) {
-        return put(record, true);
+        return put(record, true, Set.of());
+    }
+
+    /**
+     * Stores a record that another host has sent, as {@link #put(Record)} does. It is not sent back to that host.
+     *
+     * @param record the record
+     * @param from the host that has sent it
+     * @return true if the record was stored
+     */
+    public boolean put(Record record, String from) {
+        return put(record, true, Set.of(from));
     }
 
     /**
@@ -90,10 +113,11 @@
      * @return true if the record was stored
      */
     public boolean putWithoutGossip(Record record) {
-        return put(record, false);
+        return put(record, false, Set.of());
     }
 
-    private boolean put(Record record, boolean gossip) {
+    private boolean put(Record record, boolean gossip, Set<String> holders) {
+        boolean queued = gossip && !isContentAddressed(record.getName());
         synchronized (this) {
             if (!nameFilter.test(record.getName())) {
                 return false;
@@ -103,14 +127,18 @@
                     return false;
                 }
             } else if (!replace(record)) {
+                addHolders(record, holders);
                 return false;
-            } else if (gossip) {
-                remainingTransmissions.put(record.getName(), TRANSMISSIONS_PER_RECORD);
+            } else if (queued) {
+                gossipHolders.put(record.getName(), new HashSet<>(holders));
             }
         }
         for (Consumer<Record> l : List.copyOf(listeners)) {
             l.accept(record);
         }
+        if (queued) {
+            List.copyOf(gossipListeners).forEach(l -> l.accept(record));
+        }
         return true;
     }
 
@@ -157,7 +185,7 @@
         Record old = bucket == null ? null : bucket.remove(name);
         if (old != null) {
             hashes[bucketOf(name)] ^= versionHash(old);
-            remainingTransmissions.remove(name);
+            gossipHolders.remove(name);
         }
     }
 
@@ -182,51 +210,69 @@
                 + buckets.values().stream().mapToInt(Map::size).sum();
     }
 
+    private void addHolders(Record record, Set<String> holders) {
+        Set<String> known = gossipHolders.get(record.getName());
+        if (known != null
+                && get(record.getName())
+                        .filter(r -> r.getVersion() == record.getVersion())
+                        .isPresent()) {
+            known.addAll(holders);
+        }
+    }
+
     /**
-     * Returns the records to send with one probe or reply and lowers the remaining transmissions of each by one. The total
-     * size is limited, but the first record is returned whatever its size.
+     * Returns the gossip updates that a host lacks as far as this daemon knows, to send with one probe or reply. The total
+     * size is limited, but the first record is returned whatever its size. From now on the host counts as having them.
      *
-     * @return the records, those with the most transmissions left first
+     * @param to the host
+     * @return the records, those that were queued first at the beginning
      */
-    public synchronized List<Record> takeGossipUpdates() {
+    public synchronized List<Record> takeGossipUpdates(String to) {
         List<Record> out = new ArrayList<>();
         int bytes = 0;
-        List<String> names = remainingTransmissions.entrySet().stream()
-                .sorted(Map.Entry.<String, Integer>comparingByValue().reversed())
-                .map(Map.Entry::getKey)
-                .toList();
-        for (String n : names) {
-            Record r = get(n).orElse(null);
-            if (r == null) {
-                remainingTransmissions.remove(n);
-            } else if (bytes == 0 || bytes + r.getSerializedSize() <= MAX_GOSSIP_BYTES) {
+        for (Map.Entry<String, Set<String>> e : gossipHolders.entrySet()) {
+            Record r = e.getValue().contains(to) ? null : get(e.getKey()).orElse(null);
+            if (r != null && (bytes == 0 || bytes + r.getSerializedSize() <= MAX_GOSSIP_BYTES)) {
                 bytes += r.getSerializedSize();
                 out.add(r);
-                remainingTransmissions.computeIfPresent(n, (k, left) -> left > 1 ? left - 1 : null);
+                e.getValue().add(to);
             }
         }
         return out;
     }
 
     /**
-     * Queues records for one more transmission, because a message that carried them was not answered.
+     * Queues records again for a host, because a message that carried them was not answered.
      *
      * @param records the records
+     * @param to the host
+     * @param holders the hosts that need not get the records again
      */
-    public synchronized void requeueGossipUpdates(Collection<Record> records) {
+    public synchronized void requeueGossipUpdates(Collection<Record> records, String to, Collection<String> holders) {
         for (Record r : records) {
-            remainingTransmissions.merge(
-                    r.getName(), 1, (left, more) -> Math.min(left + more, TRANSMISSIONS_PER_RECORD));
+            gossipHolders
+                    .computeIfAbsent(r.getName(), n -> new HashSet<>(holders))
+                    .remove(to);
         }
     }
 
     /**
-     * Returns whether there are records to send with probes and their replies.
+     * Ends the sending of the records that all of the given hosts have.
+     *
+     * @param hosts the hosts that this daemon sends gossip updates to
+     */
+    public synchronized void endGossipUpdates(Collection<String> hosts) {
+        gossipHolders.values().removeIf(h -> h.containsAll(hosts));
+    }
+
+    /**
+     * Returns whether there are records to send to a host.
      *
+     * @param to the host
      * @return true if gossip updates are pending
      */
-    public synchronized boolean hasGossipUpdates() {
-        return !remainingTransmissions.isEmpty();
+    public synchronized boolean hasGossipUpdates(String to) {
+        return gossipHolders.values().stream().anyMatch(h -> !h.contains(to));
     }
 
     /**
--- a/daemon/src/main/java/io/fuchsiastand/daemon/membership/GossipController.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/membership/GossipController.java
@@ -42,10 +42,6 @@
  */
 public final class GossipController {
 
-    // Time between two anti-entropy exchanges while this daemon may lack records.
-    private static final Duration URGENT_SYNC_PERIOD = Duration.ofMillis(700);
-    // Time between two anti-entropy exchanges otherwise.
-    private static final Duration SYNC_PERIOD = Duration.ofSeconds(5);
     private static final Duration CALL_TIMEOUT = Duration.ofSeconds(2);
     // Time between two probes of the seeds that are not members, and between two probes of a dead member.
     private static final Duration REJOIN_PERIOD = Duration.ofSeconds(2);
@@ -62,8 +58,6 @@
     private final AtomicReference<String> newestVersionHolder = new AtomicReference<>();
     // The outstanding probes on behalf of other members, by the host that is probed.
     private final Map<String, CompletableFuture<Boolean>> indirectProbes = new ConcurrentHashMap<>();
-    private volatile boolean synced;
-    private long lastSync;
     // When the seeds and a dead member were last probed; 0 to probe them at the next tick.
     private volatile long lastSeedProbe;
 
@@ -95,13 +89,12 @@
     }
 
     /**
-     * Returns whether, since the start, an anti-entropy exchange has found no difference between the records of this
-     * daemon and those of a neighbour. The exchange does not compare content-addressed records.
+     * Returns whether anti-entropy exchanges have found no difference since the start; see {@link Gossip#isSynced}.
      *
-     * @return true once an exchange has found no difference
+     * @return true once they have found none
      */
     public boolean isSynced() {
-        return synced;
+        return gossip.isSynced();
     }
 
     /**
@@ -121,12 +114,10 @@
             return;
         }
         gossip.chooseProbeTarget().ifPresent(this::probe);
+        sendRecordsAcross();
         boolean outdated = newestVersion.get() > versionInForce();
-        boolean urgent = !synced || outdated || !board.lastContact().get().isConfigurationSourceAvailable();
-        if (now - lastSync >= (urgent ? URGENT_SYNC_PERIOD : SYNC_PERIOD).toNanos()) {
-            lastSync = now;
-            sync(randomNeighbour());
-        }
+        boolean urgent = outdated || !board.lastContact().get().isConfigurationSourceAvailable();
+        gossip.chooseSyncPartner(urgent).ifPresent(this::sync);
         Optional<Member> holder = outdated ? takeHolder() : Optional.empty();
         List<String> names = missingRecords.get();
         if (holder.isPresent()) {
@@ -136,6 +127,10 @@
         }
     }
 
+    private void sendRecordsAcross() {
+        gossip.chooseTargetsAcross().forEach(m -> sendProbe(m, m.host(), Membership.PROBE_TIMEOUT));
+    }
+
     private long versionInForce() {
         return board.configuration().get().configuration().version();
     }
@@ -191,14 +186,15 @@
                     .addAllUpdates(board.members().snapshot())
                     .build());
         } else if (request.getTarget().equals(self)) {
-            replyConsumer.accept(gossip.createReply(true, known));
+            replyConsumer.accept(gossip.createReply(request.getFrom(), true, known));
         } else {
             Member target = board.members().find(request.getTarget()).orElse(null);
             if (target == null || hasAddressOfThisHost(target)) {
-                replyConsumer.accept(gossip.createReply(false, known));
+                replyConsumer.accept(gossip.createReply(request.getFrom(), false, known));
                 return;
             }
-            probeOnBehalf(target).thenAccept(a -> replyConsumer.accept(gossip.createReply(a, known)));
+            probeOnBehalf(target)
+                    .thenAccept(a -> replyConsumer.accept(gossip.createReply(request.getFrom(), a, known)));
         }
     }
 
@@ -240,6 +236,7 @@
         for (Member m : board.members().neighbours()) {
             sendProbe(m, m.host(), Membership.PROBE_TIMEOUT);
         }
+        sendRecordsAcross();
     }
 
     // Probes seeds that are not members yet. In this way two groups of daemons that started separately form one fleet.
@@ -303,9 +300,10 @@
         return peers.<ProbeReply>call(to, timeout, (stub, o) -> stub.probe(request, o))
                 .whenComplete((r, e) -> {
                     if (e == null) {
+                        gossip.onReply(to, request, r);
                         receive(to.host(), r.getUpdatesList(), r.getRecordsList());
                     } else {
-                        gossip.requeueUndelivered(request);
+                        gossip.requeueUndelivered(to, request);
                     }
                 });
     }
@@ -316,16 +314,16 @@
         sendSync(with, first).thenAccept(r -> {
             Optional<SyncRequest> next = board.records().continueSync(self, r);
             if (next.isEmpty()) {
-                synced = true;
+                gossip.onEqualRecords();
                 return;
             }
-            boolean joining = !synced;
+            boolean joining = !gossip.isSynced();
             sendSync(with, next.get()).thenAccept(reply -> {
                 List<Record> others = withoutVersion(with.host(), reply.getRecordsList());
                 if (joining) {
                     gossip.receiveWhileJoining(others);
                 } else {
-                    gossip.receive(List.of(), others);
+                    gossip.receive(with.host(), List.of(), others);
                 }
                 recordPeerContact();
             });
@@ -349,7 +347,7 @@
     }
 
     private void receive(String from, List<MemberUpdate> updates, List<Record> records) {
-        gossip.receive(updates, withoutVersion(from, records));
+        gossip.receive(from, updates, withoutVersion(from, records));
         recordPeerContact();
     }
 
