Send only the calls that find no room to other data centres

What callers saw: once the backend servers of a data centre were used to 80%, all its daemons chose among all backend servers of the fleet at the same moment, and came back together. Cause: a limit on the utilisation, which each daemon applies alone. Change: with [scheduling] spill, the share of calls that stays is the room of the own data centre by the demand that the reported load shows, and the rest goes to others by their free room.

--- a/core/src/main/java/io/fuchsiastand/routing/Candidate.java
+++ b/core/src/main/java/io/fuchsiastand/routing/Candidate.java
@@ -24,6 +24,7 @@
     private static final int MAX_COUNTED_FAILURES = 5;
     private static final double MAX_FAILURE_SHARE = 0.9;
     private static final double FAILURE_MEMORY_NANOS = Duration.ofSeconds(10).toNanos();
+    private static final double LOAD_MEMORY_NANOS = Duration.ofSeconds(2).toNanos();
     private static final double MIN_WEIGHT = 0.01;
     private static final long MIN_TRIAL_PERIOD_NANOS = Duration.ofMillis(500).toNanos();
     private static final long MAX_TRIAL_PERIOD_NANOS = Duration.ofMinutes(5).toNanos();
@@ -34,6 +35,7 @@
     private volatile BackendServer server;
     private volatile double latencyMillis;
     private volatile int reportedLoad;
+    private volatile long reportedLoadNanos;
     private volatile double failureShare;
     private volatile long lastFailureNanos;
     private volatile int connectionFailures;
@@ -142,17 +144,16 @@
     /**
      * Records the arrival of the head of a successful answer. The call no longer counts as in flight.
      *
+     * @param clock the clock
      * @param latency time from sending the call to the head of the answer
      * @param load calls at the backend server and in its queue, as its daemon reported with the answer; negative
      *     if unknown
      */
-    public void recordAnswer(Duration latency, int load) {
+    public void recordAnswer(Clock clock, Duration latency, int load) {
         inFlight.decrementAndGet();
         double ms = latency.toNanos() / 1e6;
         latencyMillis = latencyMillis == 0 ? ms : latencyMillis + SMOOTHING * (ms - latencyMillis);
-        if (load >= 0) {
-            reportedLoad = load;
-        }
+        recordLoad(clock, load);
         failureShare -= SMOOTHING * failureShare;
         connectionFailures = 0;
         hostBlockedUntil = Long.MIN_VALUE;
@@ -167,10 +168,15 @@
      */
     public void endFailed(Clock clock, int load) {
         inFlight.decrementAndGet();
+        recordLoad(clock, load);
+        avoidedUntil = clock.nanoTime() + AVOIDANCE_NANOS;
+    }
+
+    private void recordLoad(Clock clock, int load) {
         if (load >= 0) {
             reportedLoad = load;
+            reportedLoadNanos = clock.nanoTime();
         }
-        avoidedUntil = clock.nanoTime() + AVOIDANCE_NANOS;
     }
 
     /**
@@ -299,6 +305,22 @@
         return load / (double) slots();
     }
 
+    /**
+     * Returns the estimated number of calls at the backend server and in its queue. A report loses weight as it ages, so that a
+     * backend server that was not called for a time counts as idle.
+     *
+     * @param now monotonic time in nanoseconds
+     * @return the number, at least that of this daemon's own calls there
+     */
+    double load(long now) {
+        double age = Math.max(0, now - reportedLoadNanos);
+        return Math.max(inFlight.get(), reportedLoad * Math.exp(-age / LOAD_MEMORY_NANOS));
+    }
+
+    double weightedSlots() {
+        return slots() * Math.max(MIN_WEIGHT, weight);
+    }
+
     /**
      * Returns the score of the backend server for the next call; a lower score is better.
      *
--- a/core/src/main/java/io/fuchsiastand/routing/ServiceDirectory.java
+++ b/core/src/main/java/io/fuchsiastand/routing/ServiceDirectory.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Function;
@@ -23,7 +24,8 @@
  * Holds all backend servers of the fleet by service and chooses one for each call. It draws two backend servers at
  * random, which may be the same, and chooses the one with the better score. If the cost of the call is known, it draws
  * three and chooses the one at which the call is expected to end first. It prefers the backend servers of the
- * daemon's own data centre until their utilisation reaches a limit.
+ * daemon's own data centre until their utilisation reaches a limit, or with {@link Spill} as long as all calls of the data centre
+ * together find room there.
  */
 public final class ServiceDirectory {
 
@@ -39,6 +41,7 @@
     public static final double MAX_LOCAL_UTILISATION_FOR_LARGE_BODIES = 1.2;
 
     private static final int MAX_REMOVED = 1024;
+    private static final int CHOICES_BY_COUNT = 2;
     private static final int CHOICES_BY_WORK = 3;
 
     private final String dataCentre;
@@ -47,6 +50,8 @@
     private final Function<String, Optional<Service>> services;
     private final Map<String, List<Candidate>> candidatesByService = new ConcurrentHashMap<>();
     private final Map<String, ServiceWork> workByService = new ConcurrentHashMap<>();
+    private final boolean isSpillShared;
+    private final Map<String, Spill> spillByService = new ConcurrentHashMap<>();
     private final Map<String, Map<String, Candidate>> candidatesByHost = new HashMap<>();
 
     // Candidates that were removed, the oldest first. A daemon that restarts publishes a record without its backend
@@ -86,10 +91,31 @@
             Clock clock,
             Function<String, Optional<Member>> members,
             Function<String, Optional<Service>> services) {
+        this(dataCentre, clock, members, services, false);
+    }
+
+    /**
+     * Creates a directory.
+     *
+     * @param dataCentre the data centre of this daemon
+     * @param clock the clock
+     * @param members returns the member of the fleet on a host; called while the directory is locked, so it must not wait for
+     *     another lock
+     * @param services returns the settings of a service
+     * @param isSpillShared whether only the calls that find no room in the own data centre go to others, in proportion to their
+     *     room; otherwise all calls may once the own data centre is used to a limit
+     */
+    public ServiceDirectory(
+            String dataCentre,
+            Clock clock,
+            Function<String, Optional<Member>> members,
+            Function<String, Optional<Service>> services,
+            boolean isSpillShared) {
         this.dataCentre = dataCentre;
         this.clock = clock;
         this.members = members;
         this.services = services;
+        this.isSpillShared = isSpillShared;
     }
 
     /**
@@ -227,16 +253,11 @@
         if (usable.isEmpty()) {
             return Optional.empty();
         }
-        List<Candidate> local = new ArrayList<>(usable.size());
-        double load = 0;
-        for (Candidate c : usable) {
-            if (isInOwnDataCentre(c)) {
-                local.add(c);
-                load += c.utilisation();
-            }
-        }
-        boolean preferLocal = !local.isEmpty() && load / local.size() < maxLocalUtilisation;
-        List<Candidate> from = preferLocal ? local : usable;
+        // A call that was refused or failed goes by the load of the backend servers that are left.
+        int choices = costMillis > 0 ? CHOICES_BY_WORK : CHOICES_BY_COUNT;
+        List<List<Candidate>> from = isSpillShared && excluded.isEmpty()
+                ? spillBy(service, all, usable, maxLocalUtilisation / MAX_LOCAL_UTILISATION, choices, random)
+                : Collections.nCopies(choices, localBelow(maxLocalUtilisation, usable));
         return Optional.of(
                 costMillis > 0 ? pickSoonestOfThree(from, costMillis, random) : pickBetterOfTwo(from, random));
     }
@@ -277,6 +298,17 @@
         return workByService.computeIfAbsent(service, k -> new ServiceWork());
     }
 
+    /**
+     * Returns the share of the calls of a service that this daemon keeps in its data centre.
+     *
+     * @param service the name of the service
+     * @return 0 to 1, or empty while the service does not spill over to other data centres, or if that goes by a limit
+     */
+    public OptionalDouble shareKept(String service) {
+        Spill s = spillByService.get(service);
+        return s == null || !s.isSpilling() ? OptionalDouble.empty() : OptionalDouble.of(s.share());
+    }
+
     /**
      * Returns the services that have backend servers.
      *
@@ -297,21 +329,56 @@
         return Optional.ofNullable(candidatesByHost.getOrDefault(host, Map.of()).get(id));
     }
 
-    private static Candidate pickBetterOfTwo(List<Candidate> from, RandomGenerator random) {
-        Candidate a = from.get(random.nextInt(from.size()));
-        Candidate b = from.get(random.nextInt(from.size()));
+    private List<Candidate> localBelow(double maxLocalUtilisation, List<Candidate> usable) {
+        List<Candidate> local = new ArrayList<>(usable.size());
+        double load = 0;
+        for (Candidate c : usable) {
+            if (isInOwnDataCentre(c)) {
+                local.add(c);
+                load += c.utilisation();
+            }
+        }
+        boolean preferLocal = !local.isEmpty() && load / local.size() < maxLocalUtilisation;
+        return preferLocal ? local : usable;
+    }
+
+    private List<List<Candidate>> spillBy(
+            String service,
+            List<Candidate> all,
+            List<Candidate> usable,
+            double localPreference,
+            int choices,
+            RandomGenerator random) {
+        Set<Candidate> mayTake = Set.copyOf(usable);
+        List<Spill.Place> places = new ArrayList<>(all.size());
+        for (Candidate c : all) {
+            boolean isUsable = mayTake.contains(c);
+            if (isUsable || c.weight() > 0 && c.isHostUsable(clock)) {
+                String place = members.apply(c.host()).map(Member::dataCentre).orElse("");
+                places.add(new Spill.Place(c, place, isUsable));
+            }
+        }
+        return spillByService
+                .computeIfAbsent(service, k -> new Spill(dataCentre, clock, MAX_LOCAL_UTILISATION))
+                .draw(places, localPreference, choices, random);
+    }
+
+    private static Candidate pickBetterOfTwo(List<List<Candidate>> from, RandomGenerator random) {
+        Candidate a = from.get(0).get(random.nextInt(from.get(0).size()));
+        Candidate b = from.get(1).get(random.nextInt(from.get(1).size()));
         return a.score() <= b.score() ? a : b;
     }
 
-    // If there are at most three, all of them are compared.
-    private Candidate pickSoonestOfThree(List<Candidate> from, double costMillis, RandomGenerator random) {
+    // If all are drawn from the same list of at most three, all of them are compared.
+    private Candidate pickSoonestOfThree(List<List<Candidate>> from, double costMillis, RandomGenerator random) {
         long now = clock.nanoTime();
-        int size = from.size();
-        int first = random.nextInt(size);
-        Candidate best = from.get(first);
+        int first = random.nextInt(from.get(0).size());
+        Candidate best = from.get(0).get(first);
         double bestMillis = best.expectedFinishMillis(costMillis, now);
         for (int i = 1; i < CHOICES_BY_WORK; i++) {
-            Candidate c = from.get(size <= CHOICES_BY_WORK ? (first + i) % size : random.nextInt(size));
+            List<Candidate> l = from.get(i);
+            int size = l.size();
+            Candidate c = l.get(size <= CHOICES_BY_WORK ? (first + i) % size : random.nextInt(size));
             double millis = c.expectedFinishMillis(costMillis, now);
             if (millis < bestMillis) {
                 best = c;
--- a/core/src/test/java/io/fuchsiastand/work/UnequalWorkTest.java
+++ b/core/src/test/java/io/fuchsiastand/work/UnequalWorkTest.java
@@ -152,7 +152,7 @@
                 double cost = s.estimates.expectedMillis(call.kind());
                 work.recordCost(call.kind(), cost);
                 c.recordWork(s.busyMillis(), cost, work.usualMillis(call.kind()), clock.nanoTime());
-                c.recordAnswer(Duration.ofNanos(clock.nanoTime() - sentAt), s.queue.load());
+                c.recordAnswer(clock, Duration.ofNanos(clock.nanoTime() - sentAt), s.queue.load());
                 times.add((clock.nanoTime() - call.since()) / 1e6);
             });
         }
--- a/daemon/src/main/java/io/fuchsiastand/daemon/admin/FleetStatus.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/admin/FleetStatus.java
@@ -22,6 +22,7 @@
  * @param inFlight the number of requests of callers in flight at this daemon
  * @param members the members of the fleet
  * @param backends the backend servers of the fleet
+ * @param spills the services whose calls this daemon also sends to other data centres for lack of room
  * @param shards the shards of which this daemon is the holder or the standby
  */
 public record FleetStatus(
@@ -34,6 +35,7 @@
         int inFlight,
         List<MemberStatus> members,
         List<BackendStatus> backends,
+        List<SpillStatus> spills,
         List<ShardStatus> shards) {
 
     /**
@@ -58,6 +60,14 @@
      */
     public record BackendStatus(String service, String host, String id, String state, double weight, double severity) {}
 
+    /**
+     * A service whose calls find too little room in the data centre.
+     *
+     * @param service the service
+     * @param shareKept the share of its calls that this daemon keeps in the data centre, 0 to 1
+     */
+    public record SpillStatus(String service, double shareKept) {}
+
     /**
      * A shard of which this daemon is the holder or the standby.
      *
@@ -88,6 +98,10 @@
                 .flatMap(s -> board.directory().candidates(s).stream())
                 .map(FleetStatus::statusOf)
                 .toList();
+        List<SpillStatus> spills = board.directory().services().stream()
+                .sorted()
+                .flatMap(s -> board.directory().shareKept(s).stream().mapToObj(x -> new SpillStatus(s, x)))
+                .toList();
         String self = board.settings().host();
         List<ShardStatus> shards = limits.entries().stream()
                 .filter(e -> e.includes(self))
@@ -106,6 +120,7 @@
                 inFlight,
                 members,
                 backends,
+                spills,
                 shards);
     }
 
--- a/daemon/src/main/java/io/fuchsiastand/daemon/board/Blackboard.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/board/Blackboard.java
@@ -66,7 +66,12 @@
                 MemberState.ALIVE,
                 clock.nanoTime());
         members = new Membership(self, clock, new SplittableRandom(startMillis));
-        directory = new ServiceDirectory(settings.dataCentre(), clock, members::find, this::service);
+        directory = new ServiceDirectory(
+                settings.dataCentre(),
+                clock,
+                members::find,
+                this::service,
+                settings.scheduling().spill());
     }
 
     /**
--- a/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/Attempt.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/Attempt.java
@@ -58,7 +58,7 @@
 
     void end(int load) {
         if (ended.compareAndSet(false, true)) {
-            candidate.recordAnswer(Duration.ofNanos(clock.nanoTime() - startNanos), load);
+            candidate.recordAnswer(clock, Duration.ofNanos(clock.nanoTime() - startNanos), load);
         }
     }
 }
--- a/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/Dispatcher.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/Dispatcher.java
@@ -84,6 +84,7 @@
     private final BodyBudget bodyBudget;
     private final RetryBudgets budgets;
     private final WorkReports work;
+    private final SpillReports spill;
     private final Map<String, ServiceBaseline> baselines = new ConcurrentHashMap<>();
     private final StreamingHttpRequestFactory requestFactory = new DefaultStreamingHttpRequestResponseFactory(
             BufferAllocators.DEFAULT_ALLOCATOR, DefaultHttpHeadersFactory.INSTANCE, HttpProtocolVersion.HTTP_1_1);
@@ -117,6 +118,7 @@
         answerCheck = new AnswerCheck(conventions, log);
         this.board = board;
         work = new WorkReports(board);
+        spill = new SpillReports(board.directory(), metrics);
         this.peers = peers;
         this.owner = owner;
         admission = owner.admission();
@@ -225,6 +227,7 @@
         if (picked.isEmpty()) {
             return failed(a.finalRefusal(RETRY_AFTER_MILLIS));
         }
+        spill.update(a.service);
         Candidate c = picked.get();
         a.tried.add(c);
         if (a.lastResort) {
--- a/daemon/src/main/java/io/fuchsiastand/daemon/metrics/Metrics.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/metrics/Metrics.java
@@ -156,6 +156,18 @@
                 .increment(bytes);
     }
 
+    /**
+     * Registers the share of the calls of a service that this daemon keeps in its data centre.
+     *
+     * @param service the service
+     * @param share supplies the share, 0 to 1
+     */
+    public void registerShareKept(String service, Supplier<Number> share) {
+        Gauge.builder("fuchsiastand_share_kept_local", share)
+                .tag("service", service)
+                .register(registry);
+    }
+
     /**
      * Registers a gauge.
      *
--- a/daemon/src/test/java/io/fuchsiastand/daemon/owner/LocalBackendWorkTest.java
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/owner/LocalBackendWorkTest.java
@@ -32,7 +32,7 @@
             new Service("menu", 0, Duration.ofSeconds(5), 10, Detection.CAREFUL, List.of()),
             null,
             clock,
-            new Scheduling(true, false, false));
+            new Scheduling(true, false, false, false));
 
     @Test
     void learnsTheWorkOfCallsFromAnswers() {
--- a/daemon/src/test/java/io/fuchsiastand/daemon/owner/SlotAdmissionTest.java
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/owner/SlotAdmissionTest.java
@@ -42,7 +42,7 @@
             new Service("menu", 0, Duration.ofSeconds(10), 16, Detection.CAREFUL, List.of()),
             null,
             clock,
-            new Scheduling(false, true, false));
+            new Scheduling(false, true, false, false));
     private final SlotAdmission slots = new SlotAdmission(
             clock,
             HeaderConventions.DEFAULT,
--- a/tools/src/main/java/io/fuchsiastand/tools/StatusCommand.java
+++ b/tools/src/main/java/io/fuchsiastand/tools/StatusCommand.java
@@ -50,6 +50,12 @@
             }
         });
         appendBackends(b, s.path("backends"));
+        s.path("spills")
+                .forEach(n -> appendLine(
+                        b,
+                        "service %s: %.0f%% of the calls stay in the data centre",
+                        n.path("service").asText(),
+                        100 * n.path("shareKept").asDouble()));
         appendShards(b, s);
         return b.toString().stripTrailing();
     }
