Log the begin and the end of a spill about once a wave

What operators saw: a service that spills in a wave of 20 s began and ended to spill 9 times a minute at each daemon. Cause: the end was taken from the demand of one moment. Change: a spill ends after 5 s in which all calls found room. What is chosen does not change.

--- a/core/src/main/java/io/fuchsiastand/routing/Spill.java
+++ b/core/src/main/java/io/fuchsiastand/routing/Spill.java
@@ -1,5 +1,6 @@
 package io.fuchsiastand.routing;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -19,10 +20,8 @@
 
     private static final double LOAD_SMOOTHING_NANOS = 250e6;
     private static final double RETURN_SMOOTHING_NANOS = 250e6;
-    // A service spills until its demand has fallen this far below the room, so that a wave does not start and end it
-    // often.
-    private static final double END_RATIO = 0.9;
-    private static final double MIN_END_SHARE = 0.98;
+    // A service spills until all calls have found room for this time, so that a wave begins and ends it about once.
+    private static final long END_NANOS = Duration.ofSeconds(5).toNanos();
     private static final double MIN_SHARE = 0.01;
 
     private final String dataCentre;
@@ -32,6 +31,7 @@
     private double share = 1;
     private double smoothedShare = 1;
     private boolean spilling;
+    private long spilledNanos;
     private long updatedNanos;
 
     private static final class Room {
@@ -126,7 +126,7 @@
     /**
      * Returns whether the demand of the data centre exceeds its room.
      *
-     * @return true until the demand is clearly below the room again
+     * @return true until the demand has been within the room for some seconds
      */
     synchronized boolean isSpilling() {
         return spilling;
@@ -172,7 +172,12 @@
         double demand = own.smoothedLoad / Math.max(MIN_SHARE, smoothedShare);
         double wanted = demand <= room ? 1 : Math.max(own.slots / slots, room / demand);
         share = wanted < share ? wanted : share + (wanted - share) * (1 - Math.exp(-elapsed / RETURN_SMOOTHING_NANOS));
-        spilling = wanted < 1 || spilling && (demand > END_RATIO * room || share < MIN_END_SHARE);
+        if (wanted < 1) {
+            spilling = true;
+            spilledNanos = now;
+        } else if (now - spilledNanos >= END_NANOS) {
+            spilling = false;
+        }
         return utilisation;
     }
 }
--- a/core/src/test/java/io/fuchsiastand/routing/SpillTest.java
+++ b/core/src/test/java/io/fuchsiastand/routing/SpillTest.java
@@ -26,6 +26,7 @@
     private static final int SLOTS = 7;
     private static final double CALL_MILLIS = 300;
     private static final double MAX_WAIT_MILLIS = 600;
+    private static final int WAVES = 3;
     private static final long SECOND = Duration.ofSeconds(1).toNanos();
 
     private static final long START = new ManualClock().nanoTime();
@@ -45,6 +46,7 @@
         private double calls;
         private double inTime;
         private double crossing;
+        private double begins;
 
         Schedule(boolean isSpillShared, double load, int seed) {
             this.isSpillShared = isSpillShared;
@@ -67,7 +69,7 @@
                 return;
             }
             events.add(new Event(START + at, () -> {
-                double phase = 2 * Math.PI * (at / (20.0 * SECOND) + dc / 3.0);
+                double phase = 2 * Math.PI * (at / (60.0 * SECOND) * WAVES + dc / 3.0);
                 if (random.nextDouble() * 1.55 < 1 + 0.55 * Math.sin(phase)) {
                     call(d, dc);
                 }
@@ -76,8 +78,10 @@
         }
 
         private void call(ServiceDirectory d, int dc) {
+            boolean spills = d.shareKept("menu").isPresent();
             Candidate c = d.pick("menu", Set.of(), random).orElseThrow();
             c.begin();
+            begins += !spills && d.shareKept("menu").isPresent() ? 1 : 0;
             calls++;
             crossing += c.host().equals("h" + dc) ? 0 : 1;
             FairQueue q = queues.get(Integer.parseInt(c.server().id()));
@@ -109,6 +113,11 @@
         }
     }
 
+    @Test
+    void aWaveBeginsASpillOnceOrTwiceAtADaemon() {
+        assertThat(mean(true, 0.7, s -> s.begins)).isAtMost(4 * SERVERS.length * WAVES * 2);
+    }
+
     @Test
     void keepsWhatFitsAndSendsTheExcessToTheDataCentresByTheirFreeRoom() {
         report(Duration.ZERO, 12, 0, 0, 0, 0, 8, 11);
