--- a/daemon/src/main/java/io/fuchsiastand/daemon/admin/FleetStatus.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/admin/FleetStatus.java
@@ -27,6 +27,7 @@
  * @param members the members of the fleet
  * @param backends the backend servers of the fleet
  * @param local the calls and the expected work at the backend servers of this host
+ * @param spills the services whose calls this daemon also sends to other data centres for lack of room
  * @param shards the shards of which this daemon is the holder or the standby
  */
 public record FleetStatus(
@@ -41,6 +42,7 @@
         List<MemberStatus> members,
         List<BackendStatus> backends,
         List<LocalBackendStatus> local,
+        List<SpillStatus> spills,
         List<ShardStatus> shards) {
 
     /**
@@ -67,6 +69,14 @@
     public record BackendStatus(
             String service, String host, String id, int slots, String state, double weight, double severity) {}
 
+    /**
+     * A service whose calls find too little room in the data centre.
+     *
+     * @param service the service
+     * @param shareKept the share of its calls that this daemon keeps in the data centre, 0 to 1
+     */
+    public record SpillStatus(String service, double shareKept) {}
+
     /**
      * A shard of which this daemon is the holder or the standby.
      *
@@ -99,6 +109,10 @@
                 .flatMap(s -> board.directory().candidates(s).stream())
                 .map(FleetStatus::statusOf)
                 .toList();
+        List<SpillStatus> spills = board.directory().services().stream()
+                .sorted()
+                .flatMap(s -> board.directory().shareKept(s).stream().mapToObj(x -> new SpillStatus(s, x)))
+                .toList();
         String self = board.settings().host();
         List<ShardStatus> shards = limits.entries().stream()
                 .filter(e -> e.includes(self))
@@ -122,6 +136,7 @@
                         .sorted(Comparator.comparing(b -> b.announcement().id()))
                         .map(b -> LocalBackendStatus.of(b, board))
                         .toList(),
+                spills,
                 shards);
     }
 
