Send short calls between daemons as messages of one stream

Among 109 hosts, half of what a daemon takes in its first 20 s is spent by its event loops and control, most of it in gRPC and HTTP/2, interpreted: each probe, token and loan was a stream of its own, with header fields, trailers and a place in the tree of streams on both sides.

Probe, Take, Give and Lend to a peer now share one stream. Calls keep their deadlines; a call that fails does not affect the others; a stream whose peer takes nothing is dropped when a call times out, and calls in flight fail with it. Sync and the calls with long messages keep streams of their own, so that short ones do not wait for them. A peer that does not know the stream is called as before.

--- a/daemon/src/main/java/io/fuchsiastand/daemon/http/Peers.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/http/Peers.java
@@ -10,15 +10,6 @@
 import io.fuchsiastand.membership.Member;
 import io.fuchsiastand.protocol.PeerGrpc;
 import io.fuchsiastand.time.Clock;
-import io.grpc.CallOptions;
-import io.grpc.Channel;
-import io.grpc.ClientCall;
-import io.grpc.ClientInterceptor;
-import io.grpc.ClientStreamTracer;
-import io.grpc.ConnectivityState;
-import io.grpc.ManagedChannel;
-import io.grpc.Metadata;
-import io.grpc.MethodDescriptor;
 import io.grpc.stub.StreamObserver;
 import io.servicetalk.http.api.StreamingHttpClient;
 
@@ -31,7 +22,7 @@
     private final Transport transport;
     private final Clock clock;
     private final ByteListener byteListener;
-    private final Map<String, ManagedChannel> channels = new ConcurrentHashMap<>();
+    private final Map<String, PeerStream> channels = new ConcurrentHashMap<>();
     private final Map<String, Long> backoffResetNanos = new ConcurrentHashMap<>();
     private final Map<String, StreamingHttpClient> clients = new ConcurrentHashMap<>();
 
@@ -95,10 +86,11 @@
             BiConsumer<PeerGrpc.PeerStub, StreamObserver<T>> call) {
         CompletableFuture<T> out = new CompletableFuture<>();
         String key = address + ':' + port;
-        ManagedChannel channel = channels.computeIfAbsent(key, k -> transport.peerChannel(address, port));
+        PeerStream channel = channels.computeIfAbsent(
+                key, k -> new PeerStream(transport.peerChannel(address, port), transport.timer(), byteListener));
         limitBackoff(key, channel);
         PeerGrpc.PeerStub stub = PeerGrpc.newStub(channel)
-                .withInterceptors(new ByteCounter(dataCentre))
+                .withOption(PeerStream.DATA_CENTRE, dataCentre)
                 .withDeadlineAfter(timeout.toMillis(), TimeUnit.MILLISECONDS);
         call.accept(stub, new FutureObserver<>(out));
         return out;
@@ -138,7 +130,7 @@
     public void closeConnections(Member member) {
         String key = member.address() + ':' + member.peerPort();
         backoffResetNanos.remove(key);
-        ManagedChannel channel = channels.remove(key);
+        PeerStream channel = channels.remove(key);
         if (channel != null) {
             channel.shutdown();
         }
@@ -148,55 +140,24 @@
         }
     }
 
-    private void limitBackoff(String key, ManagedChannel channel) {
-        if (channel.getState(false) != ConnectivityState.TRANSIENT_FAILURE) {
+    private void limitBackoff(String key, PeerStream channel) {
+        if (!channel.isFailing()) {
             return;
         }
         long now = clock.nanoTime();
         Long last = backoffResetNanos.get(key);
         if (last == null || now - last >= MAX_BACKOFF.toNanos()) {
             backoffResetNanos.put(key, now);
-            channel.resetConnectBackoff();
+            channel.resetBackoff();
         }
     }
 
     @Override
     public void close() {
-        channels.values().forEach(ManagedChannel::shutdownNow);
+        channels.values().forEach(PeerStream::shutdownNow);
         clients.values().forEach(c -> c.closeAsync().subscribe());
     }
 
-    /** Counts the bytes of the messages of a call. */
-    private final class ByteCounter implements ClientInterceptor {
-
-        private final String dataCentre;
-
-        ByteCounter(String dataCentre) {
-            this.dataCentre = dataCentre;
-        }
-
-        @Override
-        public <Q, R> ClientCall<Q, R> interceptCall(MethodDescriptor<Q, R> method, CallOptions options, Channel next) {
-            String kind = method.getBareMethodName();
-            return next.newCall(method, options.withStreamTracerFactory(new ClientStreamTracer.Factory() {
-                @Override
-                public ClientStreamTracer newClientStreamTracer(ClientStreamTracer.StreamInfo info, Metadata headers) {
-                    return new ClientStreamTracer() {
-                        @Override
-                        public void outboundWireSize(long bytes) {
-                            byteListener.onBytes(kind, dataCentre, bytes);
-                        }
-
-                        @Override
-                        public void inboundWireSize(long bytes) {
-                            byteListener.onBytes(kind, dataCentre, bytes);
-                        }
-                    };
-                }
-            }));
-        }
-    }
-
     /** Completes a future with the single reply of a call. */
     private record FutureObserver<T>(CompletableFuture<T> out) implements StreamObserver<T> {
 
--- a/daemon/src/main/java/io/fuchsiastand/daemon/http/Transport.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/http/Transport.java
@@ -228,7 +228,8 @@
                 .channelType(epoll ? EpollServerSocketChannel.class : NioServerSocketChannel.class)
                 .maxInboundMessageSize(MAX_PEER_MESSAGE_BYTES)
                 .executor(DIRECT_EXECUTOR)
-                .addService(service);
+                .addService(service)
+                .addService(PeerStreamServer.streaming(service.bindService()));
         try {
             if (tls.isPresent()) {
                 Settings.Tls t = tls.get();
