Handle the signals of a response after an error too

A response whose reader throws an error, such as a failed assertion, kept its place in the loop that handles its signals, so that no later signal was handled and the caller waited. That this was the cause is not shown: the case passed 26 times on its own at the same load.

--- a/daemon/src/main/java/io/fuchsiastand/daemon/http/ResponseReadAhead.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/http/ResponseReadAhead.java
@@ -163,7 +163,8 @@
             while (handled != 0) {
                 try {
                     handle();
-                } catch (RuntimeException e) {
+                } catch (RuntimeException | Error e) {
+                    // No later signal would be handled if it left the loop.
                     fail(e);
                 }
                 handled = signals.addAndGet(-handled);
@@ -217,7 +218,7 @@
             }
         }
 
-        private void fail(Exception e) {
+        private void fail(Throwable e) {
             if (!ended) {
                 end();
                 target.onError(e);
