Bound the connections of callers

A crowd of callers that only connect could take all descriptors of a daemon, after which nobody else was served. A connection whose request is handled stays open.

--- a/daemon/src/main/java/io/fuchsiastand/daemon/Daemon.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/Daemon.java
@@ -76,7 +76,7 @@
     private final IdempotencyController idempotency;
     private final PlatformController platform;
     private final CallerService callerService;
-    private final CallerConnections callerConnections = new CallerConnections();
+    private final CallerConnections callerConnections;
     private final OwnerService owner;
     private final Metrics metrics = new Metrics();
     private final ObjectStore store;
@@ -117,6 +117,7 @@
         this.deployment = deployment;
         HeaderConventions conventions = deployment.headerConventions();
         board = new Blackboard(settings, settings.ports(), clock);
+        callerConnections = new CallerConnections(settings.memory().connections());
         transport = new Transport(settings.tls(), settings.memory());
         peers = new Peers(transport, clock, this::recordPeerBytes);
         configuration = new ConfigurationController(board);
@@ -292,6 +293,8 @@
         metrics.registerGauge("fuchsiastand_backend_request_bytes", backends::maxRequestBytes);
         metrics.registerCounter("fuchsiastand_responses_unread", transport.readAhead()::stalls);
         metrics.registerCounter("fuchsiastand_connections_dropped", transport.buffer()::drops);
+        metrics.registerGauge("fuchsiastand_caller_connections", callerConnections::size);
+        metrics.registerCounter("fuchsiastand_connections_closed_for_room", callerConnections::closedForRoom);
         metrics.registerGauge("fuchsiastand_members", board::fleetSize);
         metrics.registerGauge("fuchsiastand_expected_busy_ms", backends::expectedBusyMillis);
         metrics.registerGauge("fuchsiastand_expected_work_error", backends::expectedWorkError);
--- a/daemon/src/main/java/io/fuchsiastand/daemon/board/Settings.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/board/Settings.java
@@ -201,7 +201,8 @@
                         "most_header_fields",
                         "most_unfinished_mb",
                         "longest_unread_s",
-                        "most_backend_request_mb")));
+                        "most_backend_request_mb",
+                        "most_connections")));
         JsonNode log = f.table("", root, "log");
         f.checkKeys("log", log, Set.of("access"));
         return new Settings(
--- a/daemon/src/main/java/io/fuchsiastand/daemon/http/ConnectionGuard.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/http/ConnectionGuard.java
@@ -50,10 +50,11 @@
     private final Supplier<RequestLimits> limits;
     private final Clock clock;
     private final FramingFieldScanner framingScanner = new FramingFieldScanner();
-    private Phase phase = Phase.IDLE;
+    // Written on the event loop only.
+    private volatile Phase phase = Phase.IDLE;
     // Clock time from which the timeout of the current phase counts: the start of the phase or, in
     // READING_REST_OF_BODY, the arrival of the latest bytes.
-    private long timeoutStartNanos;
+    private volatile long timeoutStartNanos;
     private boolean bodyIncomplete;
     private boolean responseStarted;
     private boolean headerTimeoutScheduled;
@@ -98,6 +99,21 @@
         });
     }
 
+    /**
+     * Closes a connection because there are too many, unless its request is handled by now and its response has begun. A
+     * request that has begun to arrive gets status 502.
+     *
+     * @param channel the channel of the connection
+     */
+    static void closeForRoom(Channel channel) {
+        channel.eventLoop().execute(() -> {
+            ChannelHandlerContext context = channel.pipeline().context(ConnectionGuard.class);
+            if (context != null) {
+                ((ConnectionGuard) context.handler()).closeForRoom(context);
+            }
+        });
+    }
+
     /**
      * Records that the daemon begins to handle a request, whose header fields are complete.
      *
@@ -256,6 +272,29 @@
         }
     }
 
+    /** Returns whether no request is handled. May be called on any thread. */
+    boolean isUnused() {
+        return phase == Phase.IDLE || phase == Phase.READING_FIELDS;
+    }
+
+    /** Returns the time at which the current phase began. May be called on any thread. */
+    long unusedSinceNanos() {
+        return timeoutStartNanos;
+    }
+
+    private void closeForRoom(ChannelHandlerContext context) {
+        if (phase == Phase.IDLE) {
+            Logger.info(
+                    "{} closing the idle connection of the caller {}: too many connections",
+                    ErrorCode.OVERLOADED.code(),
+                    context.channel().remoteAddress());
+            enterPhase(Phase.ENDED);
+            context.close();
+        } else if (phase == Phase.READING_FIELDS) {
+            tryRespondAndClose(context, ErrorCode.OVERLOADED, "the daemon has too many connections", true);
+        }
+    }
+
     private void closeAtEnd(ChannelHandlerContext context) {
         if (phase == Phase.HANDLING) {
             if (!responseStarted) {
--- a/daemon/src/test/java/io/fuchsiastand/daemon/http/EndlessRequestTest.java
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/http/EndlessRequestTest.java
@@ -4,6 +4,7 @@
 import java.io.OutputStream;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Optional;
@@ -16,6 +17,7 @@
 import io.servicetalk.http.api.StreamingHttpRequest;
 import io.servicetalk.http.api.StreamingHttpResponse;
 import io.servicetalk.http.api.StreamingHttpResponseFactory;
+import io.servicetalk.http.api.StreamingHttpService;
 import io.servicetalk.transport.api.ServerContext;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -24,6 +26,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 /** Tests requests that do not end until the server closes the connection. */
 class EndlessRequestTest {
@@ -108,7 +111,8 @@
     @CsvSource({"'', HTTP/1.1 503 , not-run", "'\r\n', HTTP/1.1 502 , unknown"})
     void answersARequestWhoseConnectionIsDroppedForRoom(String end, String status, String runState) throws Exception {
         MemoryLimits d = MemoryLimits.DEFAULT;
-        MemoryLimits small = new MemoryLimits(d.headerFields(), 1_000_000, d.backendRequestBytes(), d.maxUnread());
+        MemoryLimits small =
+                new MemoryLimits(d.headerFields(), 1_000_000, d.backendRequestBytes(), d.maxUnread(), d.connections());
         String head = "GET /x HTTP/1.1\r\nhost: a\r\n" + "a:\r\n".repeat(2_000);
         try (Transport t = new Transport(Optional.empty(), small);
                 ServerContext callers = t.callerServer(
@@ -126,6 +130,48 @@
         }
     }
 
+    // Guards against a crowd of connections that takes the descriptors of the process. The request of the first
+    // connection is
+    // handled, the second one does not end its head, the third one is idle.
+    @Test
+    void closesTheLeastRecentlyUsedConnectionWhenThereAreTooMany() throws Exception {
+        CallerConnections connections = new CallerConnections(3);
+        StreamingHttpService service = (c, r, f) -> {
+            ConnectionGuard.beginRequest(c, false);
+            return Single.never();
+        };
+        try (ServerContext callers = transport.callerServer(0, service, () -> LIMITS, Clock.system(), connections);
+                Socket handled = connect(callers)) {
+            handled.getOutputStream().write("GET /x HTTP/1.1\r\nhost: a\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+            awaitSize(connections, 1);
+            try (Socket unfinished = connect(callers)) {
+                unfinished.getOutputStream().write("GET /x HTTP/1.1\r\n".getBytes(StandardCharsets.US_ASCII));
+                awaitSize(connections, 2);
+                Thread.sleep(100);
+                try (Socket idle = connect(callers)) {
+                    awaitSize(connections, 3);
+                    Socket fourth = connect(callers);
+                    assertThat(new String(unfinished.getInputStream().readAllBytes(), StandardCharsets.US_ASCII))
+                            .startsWith("HTTP/1.1 502 ");
+                    awaitSize(connections, 3);
+                    Socket fifth = connect(callers);
+                    assertThat(idle.getInputStream().read()).isEqualTo(-1);
+                    awaitSize(connections, 3);
+                    assertThat(connections.closedForRoom()).isEqualTo(2);
+                    handled.setSoTimeout(100);
+                    assertThrows(SocketTimeoutException.class, () -> handled.getInputStream()
+                            .read());
+                }
+            }
+        }
+    }
+
+    private static void awaitSize(CallerConnections connections, int size) throws InterruptedException {
+        while (connections.size() != size) {
+            Thread.sleep(5);
+        }
+    }
+
     private static Single<StreamingHttpResponse> readBody(
             HttpServiceContext context, StreamingHttpRequest request, StreamingHttpResponseFactory factory) {
         return request.messageBody().ignoreElements().concat(Single.succeeded(factory.ok()));
