Take only a stated limit on descriptors, and close idle connections in order

The bound on connections would have been 0 if the operating system named no limit on descriptors. An idle connection that has to give way is closed like one at the end of the daemon, so that a response that has just ended is written.

--- a/daemon/src/main/java/io/fuchsiastand/daemon/board/MemoryLimits.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/board/MemoryLimits.java
@@ -22,6 +22,8 @@
 
     private static final int HEAP_DIVISOR = 8;
     private static final int MAX_HEADER_FIELDS = 1_000_000;
+    // Fewer are taken for a limit that the operating system does not state.
+    private static final int MIN_DESCRIPTORS = 256;
     private static final int MAX_CONNECTIONS = 1_000_000;
     private static final int MAX_MEGABYTES = 65_536;
     private static final int DEFAULT_BACKEND_REQUEST_MEGABYTES = 64;
@@ -58,8 +60,10 @@
 
     // The other descriptors are for files, and for connections to backend servers and other daemons.
     private static int defaultConnections() {
-        return ManagementFactory.getOperatingSystemMXBean() instanceof UnixOperatingSystemMXBean b
-                ? (int) Math.min(MAX_CONNECTIONS, b.getMaxFileDescriptorCount() / 8 * 5)
-                : MAX_CONNECTIONS;
+        long descriptors = ManagementFactory.getOperatingSystemMXBean() instanceof UnixOperatingSystemMXBean b
+                ? b.getMaxFileDescriptorCount()
+                : 0;
+        boolean isKnown = descriptors >= MIN_DESCRIPTORS;
+        return isKnown ? (int) Math.min(MAX_CONNECTIONS, descriptors / 8 * 5) : MAX_CONNECTIONS;
     }
 }
--- a/daemon/src/main/java/io/fuchsiastand/daemon/http/CallerConnections.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/http/CallerConnections.java
@@ -8,9 +8,9 @@
 import io.netty.channel.Channel;
 
 /**
- * The open connections of callers. Least recently used: when there are too many, the one is closed whose last request has ended, or
- * whose current one has begun to arrive, the longest time ago. A connection whose request is handled stays open; if all are, the new one
- * is closed.
+ * The open connections of callers. Least recently used: when there are too many, the one is closed whose last request has
+ * ended, or whose current one has begun to arrive, the longest time ago. A connection whose request is handled stays open; if
+ * all are, the new one is closed.
  *
  * <p>Thread-safe.
  */
@@ -73,12 +73,12 @@
 
     private Channel leastRecentlyUsed(Channel newest) {
         Channel oldest = newest;
-        long oldestNanos = Long.MAX_VALUE;
+        ConnectionGuard oldestGuard = newest.pipeline().get(ConnectionGuard.class);
         for (Channel c : open) {
             ConnectionGuard guard = c.pipeline().get(ConnectionGuard.class);
-            if (guard != null && guard.isUnused() && guard.unusedSinceNanos() < oldestNanos) {
+            if (guard != null && guard.isUnused() && guard.unusedSinceNanos() - oldestGuard.unusedSinceNanos() < 0) {
                 oldest = c;
-                oldestNanos = guard.unusedSinceNanos();
+                oldestGuard = guard;
             }
         }
         return oldest;
--- a/daemon/src/main/java/io/fuchsiastand/daemon/http/ConnectionGuard.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/http/ConnectionGuard.java
@@ -288,8 +288,7 @@
                     "{} closing the idle connection of the caller {}: too many connections",
                     ErrorCode.OVERLOADED.code(),
                     context.channel().remoteAddress());
-            enterPhase(Phase.ENDED);
-            context.close();
+            closeAtEnd(context);
         } else if (phase == Phase.READING_FIELDS) {
             tryRespondAndClose(context, ErrorCode.OVERLOADED, "the daemon has too many connections", true);
         }
--- a/daemon/src/main/java/io/fuchsiastand/daemon/http/ResponseReadAhead.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/http/ResponseReadAhead.java
@@ -83,9 +83,8 @@
         return part instanceof HttpHeaders h ? PART_COST_BYTES + (long) h.size() * FIELD_COST_BYTES : PART_COST_BYTES;
     }
 
-    // Signals come from the threads of the source, of the reader and of the timer. The first of them handles those of
-    // the
-    // others too.
+    // Signals come from the threads of the source, of the reader and of the timer. The thread that finds no
+    // other one at work handles them all.
     private final class BufferingSubscriber<T> implements Subscriber<T>, Subscription {
 
         private final Subscriber<? super T> target;
--- a/daemon/src/test/java/io/fuchsiastand/daemon/SlowReaderTest.java
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/SlowReaderTest.java
@@ -68,8 +68,7 @@
         }
     }
 
-    // Guards against a response that is ready and not delivered because its deadline of 5 s passes while the caller
-    // reads.
+    // Guards against a response that is ready and not delivered because its deadline of 5 s passes meanwhile.
     @Test
     void deliversAResponseThatWasReadInTimeAlsoAfterItsDeadline() throws Exception {
         try (Socket s = open(1, "/menu/large")) {
--- a/daemon/src/test/java/io/fuchsiastand/daemon/UploadTest.java
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/UploadTest.java
@@ -76,8 +76,7 @@
     }
 
     // Guards against bodies in chunks that exceed the limit of the configuration, against a connection that is closed
-    // instead of
-    // an answer to them, and against a backend server that is held responsible for them.
+    // instead of an answer to them, and against a backend server that is held responsible for them.
     @ParameterizedTest
     @ValueSource(ints = {0, 1})
     void refusesABodyInChunksThatIsLongerThanTheConfigurationAllows(int daemon) throws Exception {
--- a/daemon/src/test/java/io/fuchsiastand/daemon/http/EndlessRequestTest.java
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/http/EndlessRequestTest.java
@@ -131,8 +131,7 @@
     }
 
     // Guards against a crowd of connections that takes the descriptors of the process. The request of the first
-    // connection is
-    // handled, the second one does not end its head, the third one is idle.
+    // connection is handled, the second one does not end its head, the third one is idle.
     @Test
     void closesTheLeastRecentlyUsedConnectionWhenThereAreTooMany() throws Exception {
         CallerConnections connections = new CallerConnections(3);
