Start the timeout of a call to a peer after the call is sent

A call between daemons whose deadline passed before its message was sent never ended: its timeout found no call to end, and a peer that gives no answer left it waiting, with the request that waits for a token.

Cause: the timeout was scheduled before the call was entered in the stream that it shares with others. On a busy host the thread can be held up between the two for longer than the deadline.

Change: the call is sent first.

Test: PeerStreamTest.callsWithoutTimeLeftTimeOut, 2,000 calls without time left to a silent peer, red before (no end after 5 s), green after.

--- a/daemon/src/main/java/io/fuchsiastand/daemon/http/PeerStream.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/http/PeerStream.java
@@ -234,12 +234,13 @@
         @Override
         public void halfClose() {
             countBytes(request.length);
+            send(this, request);
+            // A timeout that came before would not find the call.
             Deadline deadline = options.getDeadline();
             if (deadline != null) {
                 long nanos = Math.max(0, deadline.timeRemaining(TimeUnit.NANOSECONDS));
                 timeout = timer.schedule(this::onTimeout, Duration.ofNanos(nanos));
             }
-            send(this, request);
         }
 
         @Override
--- a/daemon/src/test/java/io/fuchsiastand/daemon/http/PeerStreamTest.java
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/http/PeerStreamTest.java
@@ -71,6 +71,19 @@
         assertThat(probe("h2", TIMEOUT).get().getAcknowledged()).isTrue();
     }
 
+    // Guards against a timeout that comes before the call is sent, after which the call would never end.
+    @Test
+    void callsWithoutTimeLeftTimeOut() throws Exception {
+        start(true);
+        probe("h1", TIMEOUT).get();
+        List<CompletableFuture<ProbeReply>> calls = IntStream.range(0, 2_000)
+                .mapToObj(i -> probe("silent", Duration.ZERO))
+                .toList();
+        for (CompletableFuture<ProbeReply> c : calls) {
+            assertThat(statusOf(c)).isEqualTo(Status.Code.DEADLINE_EXCEEDED);
+        }
+    }
+
     @Test
     void aFailedCallFailsAlone() throws Exception {
         start(true);
