Count responses that end late as failures, also on a busy machine

What callers saw: a backend server that sent bodies without end got the next call that must not be repeated (200 for 503). Cause: the owner ends such a body at the deadline and records a failure; the ingress daemon cancels it 100 ms later. If the owner's timer is later than that, the cancellation came first and counted as no result. Change: a response that is given up after the deadline of its call counts as a failure; before the deadline as no result, as before. Result: the new case of LocalBackendWorkTest failed with the former rule and passes; EndlessResponseTest passes 16 of 16 at a load of about 30 on 7 processors. Three runs of the case at such a load before the change passed too, so that the failure itself was not met again in the untouched code.

--- a/daemon/src/main/java/io/fuchsiastand/daemon/owner/LocalBackend.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/owner/LocalBackend.java
@@ -157,6 +157,14 @@
             permit.release();
         }
 
+        /**
+         * Ends a call that was given up while the backend server sent its response. After its deadline, that is a failure of the
+         * backend server, as if the time limit of this daemon had ended it.
+         */
+        public void endGivenUp() {
+            end(clock.nanoTime() - call.deadline() >= 0 ? Outcome.FAILURE : Outcome.CANCELLED);
+        }
+
         /**
          * Returns the time since the call was started.
          *
--- a/daemon/src/main/java/io/fuchsiastand/daemon/owner/OwnerService.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/owner/OwnerService.java
@@ -437,7 +437,7 @@
                 })
                 .beforeCancel(() -> {
                     use.close();
-                    c.end(Outcome.CANCELLED);
+                    c.endGivenUp();
                 }));
     }
 
--- a/daemon/src/test/java/io/fuchsiastand/daemon/owner/LocalBackendWorkTest.java
+++ b/daemon/src/test/java/io/fuchsiastand/daemon/owner/LocalBackendWorkTest.java
@@ -19,6 +19,8 @@
 import io.servicetalk.http.api.HttpProtocolVersion;
 import io.servicetalk.http.api.StreamingHttpRequest;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -87,6 +89,22 @@
         assertThat(CallHeaders.read(request, clock).usualCostMillis()).isEqualTo(438);
     }
 
+    // Guards against responses without end that count as no failure, because a daemon on a busy machine ends them later
+    // than
+    // the daemon that waits for them.
+    @ParameterizedTest
+    @CsvSource({"4000, false", "5000, true"})
+    void aCallThatIsGivenUpIsAFailureAfterItsDeadline(long millis, boolean isFailure) {
+        for (int i = 0; i < 3; i++) {
+            LocalBackend.InFlightCall c = begin();
+            c.recordResponseHead(true);
+            clock.advance(Duration.ofMillis(millis));
+            c.endGivenUp();
+        }
+        assertThat(backend.circuitBreaker().rejectsNonIdempotentCalls(clock.nanoTime()))
+                .isEqualTo(isFailure);
+    }
+
     private void run(int calls, long millis, boolean isAnswer, Outcome outcome) {
         for (int i = 0; i < calls; i++) {
             LocalBackend.InFlightCall c = begin();
