End a failed response at its deadline

A caller of a body without end received what had been read ahead for some time after the deadline: 2.09 s in one run of breaksOffABodyWithoutEndAtTheDeadline (bound 2 s), beside other tests. What was read before an error is still delivered before it, but no longer than until the deadline; a response that has become whole is delivered also after it.

--- a/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/Dispatcher.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/Dispatcher.java
@@ -277,8 +277,10 @@
                 .request(request)
                 .timeout(timeUntilDeadline(a).plus(REPORT_TIME), timer)
                 .flatMap(r -> answerCheck.check(idOf(a), c.host(), r))
-                .map(r -> readAhead.apply(r.transformMessageBody(
-                        b -> b.timeoutTerminal(timeUntilDeadline(a).plus(REPORT_TIME), timer))));
+                .map(r -> readAhead.apply(
+                        r.transformMessageBody(
+                                b -> b.timeoutTerminal(timeUntilDeadline(a).plus(REPORT_TIME), timer)),
+                        () -> board.clock().nanoTime() - a.routed.deadline() >= 0));
     }
 
     private Single<StreamingHttpResponse> onError(CallAttempts a, Attempt attempt, Throwable e) {
--- a/daemon/src/main/java/io/fuchsiastand/daemon/http/ResponseReadAhead.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/http/ResponseReadAhead.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BooleanSupplier;
 
 import io.fuchsiastand.error.ErrorCode;
 import io.fuchsiastand.memory.ReadAhead;
@@ -21,7 +22,7 @@
 
 /**
  * Reads responses ahead of callers that read slowly, so that their backend servers can finish them. {@link ReadAhead} decides
- * how far. What was read before an error is delivered before the error. A response of which the caller takes nothing for a
+ * how far. What was read before an error is delivered before the error, until the deadline. A response of which the caller takes nothing for a
  * time, although it has been read to its end, is ended.
  */
 public final class ResponseReadAhead {
@@ -52,10 +53,11 @@
      * Lets the body of a response be read ahead of its reader.
      *
      * @param response the response
+     * @param isOverdue returns whether the deadline has passed, after which a response that has failed ends at once
      * @return the same response
      */
-    public StreamingHttpResponse apply(StreamingHttpResponse response) {
-        return response.transformMessageBody(b -> b.liftSync(s -> new BufferingSubscriber<>(s)));
+    public StreamingHttpResponse apply(StreamingHttpResponse response, BooleanSupplier isOverdue) {
+        return response.transformMessageBody(b -> b.liftSync(s -> new BufferingSubscriber<>(s, isOverdue)));
     }
 
     /**
@@ -88,6 +90,7 @@
     private final class BufferingSubscriber<T> implements Subscriber<T>, Subscription {
 
         private final Subscriber<? super T> target;
+        private final BooleanSupplier isOverdue;
         private final ReadAhead<T> ahead =
                 new ReadAhead<>(buffer.newShare(() -> drop("the host has no room")), ResponseReadAhead::costOf);
         private final Queue<T> received = new ConcurrentLinkedQueue<>();
@@ -105,8 +108,9 @@
         private volatile boolean stallCheckDue;
         private boolean ended;
 
-        private BufferingSubscriber(Subscriber<? super T> target) {
+        private BufferingSubscriber(Subscriber<? super T> target, BooleanSupplier isOverdue) {
             this.target = target;
+            this.isOverdue = isOverdue;
         }
 
         @Override
@@ -180,13 +184,14 @@
             for (T part = received.poll(); part != null; part = received.poll()) {
                 ahead.add(part);
             }
-            while (!cancelled && delivered < requested.get() && !ahead.isEmpty()) {
+            boolean endsNow = complete && error != null && isOverdue.getAsBoolean();
+            while (!endsNow && !cancelled && delivered < requested.get() && !ahead.isEmpty()) {
                 delivered++;
                 target.onNext(ahead.poll());
             }
             if (cancelled) {
                 end();
-            } else if (complete && ahead.isEmpty()) {
+            } else if (endsNow || (complete && ahead.isEmpty())) {
                 end();
                 finish();
             } else if (dropReason != null) {
--- a/daemon/src/main/java/io/fuchsiastand/daemon/owner/OwnerService.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/owner/OwnerService.java
@@ -435,7 +435,7 @@
             h.set(HeaderNames.RUN_STATE, HeaderNames.NOT_RUN);
         }
         Duration left = Duration.ofNanos(Math.max(1, call.deadline() - clock.nanoTime()));
-        return readAhead.apply(r.transformMessageBody(body -> body.timeoutTerminal(left)
+        StreamingHttpResponse watched = r.transformMessageBody(body -> body.timeoutTerminal(left)
                 .beforeOnComplete(() -> {
                     use.responseReceived();
                     c.end(outcome);
@@ -447,7 +447,8 @@
                 .beforeCancel(() -> {
                     use.close();
                     c.end(Outcome.CANCELLED);
-                })));
+                }));
+        return readAhead.apply(watched, () -> clock.nanoTime() - call.deadline() >= 0);
     }
 
     // A response that turns a call away names a limit, but the lack of one there does not withdraw it.
