--- a/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/CallAttempts.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/CallAttempts.java
@@ -82,6 +82,10 @@
         kind = WorkKind.of(service, routed.match().route(), bodyBytes);
     }
 
+    boolean isOverdue() {
+        return clock.nanoTime() - routed.deadline() >= 0;
+    }
+
     // After an attempt that reached no backend server, another attempt starts only in the first half of the time
     // until the deadline, so that the caller of a refused request has time to retry. A part of another request may
     // use all of that time, since the other request fails if this one is refused.
--- a/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/Dispatcher.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/dispatch/Dispatcher.java
@@ -281,10 +281,9 @@
                 .request(request)
                 .timeout(timeUntilDeadline(a).plus(REPORT_TIME), timer)
                 .flatMap(r -> answerCheck.check(idOf(a), c.host(), r))
-                .map(r -> readAhead.apply(
-                        r.transformMessageBody(
-                                b -> b.timeoutTerminal(timeUntilDeadline(a).plus(REPORT_TIME), timer)),
-                        () -> board.clock().nanoTime() - a.routed.deadline() >= 0));
+                .map(r -> r.transformMessageBody(
+                        b -> b.timeoutTerminal(timeUntilDeadline(a).plus(REPORT_TIME), timer)))
+                .map(r -> readAhead.apply(r, a::isOverdue));
     }
 
     private Single<StreamingHttpResponse> onError(CallAttempts a, Attempt attempt, Throwable e) {
