Link no methods of records at a start

All 54 method handle forms that a start generated outside the archive of classes belong to the generated equality of four records, which is linked when it is first used and runs through method handles in the interpreter. They have explicit methods now, as TeamService has; members are told apart by their host.

--- a/core/src/main/java/io/fuchsiastand/membership/Membership.java
+++ b/core/src/main/java/io/fuchsiastand/membership/Membership.java
@@ -9,7 +9,6 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -457,18 +456,18 @@
     // Half of the rings contain only the hosts of this daemon's data centre, since traffic between data centres is
     // expensive. The other rings contain all hosts, so that the data centres stay connected.
     private List<Member> successors() {
-        Set<Member> out = new LinkedHashSet<>();
+        Map<String, Member> out = new LinkedHashMap<>();
         long[] ownPositions = positions(self);
         String ownDataCentre = members.get(self).dataCentre();
         for (int ring = 0; ring < LOCAL_RINGS; ring++) {
             int number = ring;
             successor(ownPositions, number, m -> m.dataCentre().equals(ownDataCentre))
-                    .ifPresent(out::add);
+                    .ifPresent(m -> out.put(m.host(), m));
         }
         for (int ring = 0; ring < GLOBAL_RINGS; ring++) {
-            successor(ownPositions, LOCAL_RINGS + ring, m -> true).ifPresent(out::add);
+            successor(ownPositions, LOCAL_RINGS + ring, m -> true).ifPresent(m -> out.put(m.host(), m));
         }
-        return List.copyOf(out);
+        return List.copyOf(out.values());
     }
 
     private Optional<Member> successor(long[] ownPositions, int ring, Predicate<Member> filter) {
--- a/core/src/main/java/io/fuchsiastand/routing/BackendServer.java
+++ b/core/src/main/java/io/fuchsiastand/routing/BackendServer.java
@@ -1,5 +1,7 @@
 package io.fuchsiastand.routing;
 
+import java.util.Objects;
+
 /**
  * Description of a backend server that the daemon of its host publishes to the fleet.
  *
@@ -15,4 +17,23 @@
  *     in milliseconds since 1970 or, if it is not given, the time at which the daemon of its host added it
  */
 public record BackendServer(
-        String id, String service, int slots, BackendState state, double weight, double severity, long incarnation) {}
+        String id, String service, int slots, BackendState state, double weight, double severity, long incarnation) {
+
+    // Explicit, because the generated methods of a record are linked at run time, which is costly at each start.
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof BackendServer s
+                && Objects.equals(id, s.id)
+                && Objects.equals(service, s.service)
+                && slots == s.slots
+                && state == s.state
+                && Double.compare(weight, s.weight) == 0
+                && Double.compare(severity, s.severity) == 0
+                && incarnation == s.incarnation;
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * Objects.hashCode(id) + Long.hashCode(incarnation);
+    }
+}
--- a/daemon/src/main/java/io/fuchsiastand/daemon/board/Settings.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/board/Settings.java
@@ -104,6 +104,17 @@
      */
     public record Endpoint(String host, int port) {
 
+        // Explicit, because the generated methods of a record are linked at run time, which is costly at each start.
+        @Override
+        public boolean equals(Object other) {
+            return other instanceof Endpoint e && port == e.port && host.equals(e.host);
+        }
+
+        @Override
+        public int hashCode() {
+            return 31 * host.hashCode() + port;
+        }
+
         /**
          * Parses an address and a port.
          *
--- a/daemon/src/main/java/io/fuchsiastand/daemon/store/JoinController.java
+++ b/daemon/src/main/java/io/fuchsiastand/daemon/store/JoinController.java
@@ -5,6 +5,7 @@
 import java.util.Arrays;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -71,6 +72,20 @@
      */
     public record JoinRecord(String host, String address, int peerPort) {
 
+        // Explicit, because the generated methods of a record are linked at run time, which is costly at each start.
+        @Override
+        public boolean equals(Object other) {
+            return other instanceof JoinRecord j
+                    && Objects.equals(host, j.host)
+                    && Objects.equals(address, j.address)
+                    && peerPort == j.peerPort;
+        }
+
+        @Override
+        public int hashCode() {
+            return 31 * Objects.hashCode(host) + peerPort;
+        }
+
         private boolean isValid() {
             return host != null
                     && !host.isEmpty()
