--- a/review/standins-2/Rig.java
+++ b/review/standins-2/Rig.java
@@ -14,14 +14,17 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Executors;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 
@@ -32,6 +35,7 @@
     static final String LOOPBACK = "127.0.0.1";
     static final List<Process> PROCESSES = new CopyOnWriteArrayList<>();
     static final List<Daemon> DAEMONS = new CopyOnWriteArrayList<>();
+    private static final Set<Integer> USED_PORTS = new HashSet<>();
     private static PrintStream record = System.out;
     static Path folder;
 
@@ -83,12 +87,19 @@
         }
     }
 
-    static int freePort() {
-        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getByName(LOOPBACK))) {
-            return s.getLocalPort();
-        } catch (IOException e) {
-            throw new IllegalStateException(e);
+    // Below the range from which outgoing connections take their ports, so that none of them takes one meanwhile.
+    static synchronized int freePort() {
+        for (int i = 0; i < 1_000; i++) {
+            int port = 15_000 + ThreadLocalRandom.current().nextInt(16_000);
+            try (ServerSocket s = new ServerSocket(port, 1)) {
+                if (USED_PORTS.add(s.getLocalPort())) {
+                    return port;
+                }
+            } catch (IOException e) {
+                // The port is in use.
+            }
         }
+        throw new IllegalStateException("no free port");
     }
 
     /** The platform's store, as far as the daemons use it. */
