--- a/review/standins-2/FailsWith503.java
+++ b/review/standins-2/FailsWith503.java
@@ -9,7 +9,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
- * One of three backend servers fails a part of its requests: it runs them and then answers 503, without
+ * One of seven backend servers fails a part of its requests: it runs them and then answers 503, without
  * {@code X-Not-Executed}. Its health check stays good. Clients send orders on an unsafe route, and repeat an order only after
  * a status that promises that it has not run.
  */
@@ -17,6 +17,8 @@
 
     private static final double FAILED_SHARE = 0.4;
     private static final int MAX_TRIES = 3;
+    private static final int HOSTS = 7;
+    private static final long FAILING_MILLIS = 6_500;
 
     private FailsWith503() {}
 
@@ -36,7 +38,7 @@
         Map<String, Integer> runsByOrder = new ConcurrentHashMap<>();
         AtomicBoolean grey = new AtomicBoolean();
         List<Rig.Daemon> daemons = new ArrayList<>();
-        for (int i = 0; i < 3; i++) {
+        for (int i = 0; i < HOSTS; i++) {
             int n = i;
             Rig.Daemon d = new Rig.Daemon("host-" + i, "zone-1", "orders", store);
             d.start();
@@ -70,8 +72,8 @@
         AtomicInteger broken = new AtomicInteger();
         AtomicInteger served = new AtomicInteger();
         List<Thread> clients = new ArrayList<>();
-        for (int k = 0; k < 6; k++) {
-            int port = daemons.get(k % 3).callers;
+        for (int k = 0; k < 12; k++) {
+            int port = daemons.get(k % HOSTS).callers;
             clients.add(Rig.thread(() -> {
                 while (calling.get()) {
                     String order = "o" + number.incrementAndGet();
@@ -96,7 +98,10 @@
                 }
             }));
         }
-        Rig.sleep(10_000);
+        Rig.sleep(FAILING_MILLIS);
+        grey.set(false);
+        Rig.log("i-0 is sound again");
+        Rig.sleep(3_500);
         calling.set(false);
         for (Thread t : clients) {
             t.join(5_000);
--- a/review/standins-2/ResetByClient.java
+++ b/review/standins-2/ResetByClient.java
@@ -18,6 +18,7 @@
 public final class ResetByClient {
 
     private static final double LEAVING_SHARE = 0.3;
+    private static final long LEAVING_SPELL_MILLIS = 5_500;
     private static final long LEAVES_AFTER_MILLIS = 300;
     private static final long WORK_MILLIS = 1_200;
     private static final long GRACE_NANOS = 500_000_000;
@@ -70,17 +71,18 @@
         }
         Rig.sleep(4_000);
         AtomicBoolean calling = new AtomicBoolean(true);
+        AtomicBoolean leaving = new AtomicBoolean();
         AtomicInteger number = new AtomicInteger();
         AtomicInteger served = new AtomicInteger();
         List<Thread> clients = new ArrayList<>();
-        for (int k = 0; k < 12; k++) {
+        for (int k = 0; k < 18; k++) {
             int port = daemons.get(k % 3).callers;
             clients.add(Rig.thread(() -> {
                 while (calling.get()) {
                     String id = String.format("%016x", number.incrementAndGet());
                     Course c = new Course();
                     courses.put(id, c);
-                    boolean leaves = trouble && ThreadLocalRandom.current().nextDouble() < LEAVING_SHARE;
+                    boolean leaves = leaving.get() && ThreadLocalRandom.current().nextDouble() < LEAVING_SHARE;
                     try (Socket s = new Socket()) {
                         s.connect(new InetSocketAddress(Rig.LOOPBACK, port), 1_000);
                         s.setSoTimeout(7_000);
@@ -102,7 +104,11 @@
                 }
             }));
         }
-        Rig.sleep(20_000);
+        Rig.sleep(4_000);
+        leaving.set(trouble);
+        Rig.sleep(LEAVING_SPELL_MILLIS);
+        leaving.set(false);
+        Rig.sleep(4_000);
         calling.set(false);
         for (Thread t : clients) {
             t.join(8_000);
