--- a/review/standins-2/FailsWith503.java
+++ b/review/standins-2/FailsWith503.java
@@ -79,6 +79,7 @@
                     String order = "o" + number.incrementAndGet();
                     for (int i = 0; i < MAX_TRIES; i++) {
                         String attempt = String.format("%016x", number.incrementAndGet());
+                        Rig.log("attempt %s of order %s is sent", attempt, order);
                         int status = send(port, order, attempt);
                         Rig.log("attempt %s of order %s gets %d", attempt, order, status);
                         boolean promise = status == 503 || status == 429 || status == 408 || status == 421;
--- a/review/standins-2/FirstHostsLost.java
+++ b/review/standins-2/FirstHostsLost.java
@@ -82,6 +82,7 @@
 
     private static Rig.Upstream addUpstream(String id, Rig.Daemon host) throws Exception {
         Rig.Upstream u = new Rig.Upstream(id, "svc", 4, (r, s, o) -> {
+            Rig.log("request %s runs at %s", r.headers.get("X-Attempt-Id"), id);
             Rig.sleep(20);
             Rig.Upstream.answer(r, o, 200, "done");
         });
@@ -102,10 +103,12 @@
         Map<Integer, Integer> statuses = new TreeMap<>();
         for (int i = 0; i < REQUESTS; i++) {
             int status = 0;
+            String attempt = String.format("%016x", System.nanoTime());
+            Rig.log("request %s is sent to %s", attempt, daemons.get(i % daemons.size()).name);
             try {
                 Map<String, String> headers = Map.of(
                         "X-Attempt-Id",
-                        String.format("%016x", System.nanoTime()),
+                        attempt,
                         "X-Timeout-Ms",
                         "2000",
                         "Authorization",
@@ -115,6 +118,7 @@
             } catch (java.io.IOException e) {
                 Rig.log("%s", e);
             }
+            Rig.log("request %s is answered %d", attempt, status);
             statuses.merge(status, 1, Integer::sum);
             Rig.sleep(100);
         }
--- a/review/standins-2/LateHeartbeat.java
+++ b/review/standins-2/LateHeartbeat.java
@@ -39,8 +39,8 @@
             Rig.Upstream u = new Rig.Upstream("i-" + i, "svc", 3, (r, s, o) -> {
                 if (n == 0) {
                     arrivals.add(new long[] {System.nanoTime()});
-                    Rig.log("request %s reaches i-0", r.headers.get("X-Attempt-Id"));
                 }
+                Rig.log("request %s runs at i-%d", r.headers.get("X-Attempt-Id"), n);
                 Rig.sleep(20);
                 Rig.Upstream.answer(r, o, 200, "by i-" + n);
             });
@@ -60,14 +60,16 @@
             Rig.thread(() -> {
                 while (calling.get()) {
                     String id = String.format("%016x", sent.incrementAndGet());
+                    Rig.log("request %s is sent", id);
                     try {
                         Rig.Answer a = Rig.call(
                                 port, "GET", "/p/x", "h.example", Map.of("X-Attempt-Id", id, "X-Timeout-Ms", "2000"), null, 3000);
+                        Rig.log("request %s is answered %d", id, a.status);
                         if (a.status == 200) {
                             served.incrementAndGet();
                         }
                     } catch (Exception e) {
-                        // The daemon is down.
+                        Rig.log("request %s is not answered: %s", id, e);
                     }
                     Rig.sleep(50);
                 }
--- a/review/standins-2/ResetByClient.java
+++ b/review/standins-2/ResetByClient.java
@@ -58,6 +58,7 @@
                 boolean closed = isClosedWithin(s, WORK_MILLIS);
                 c.ended = System.nanoTime();
                 if (closed) {
+                    Rig.log("request %s is dropped at i-%d: its connection closes", id, n);
                     throw new IOException("the connection of the request has closed");
                 }
                 Rig.log("request %s ends at i-%d", id, n);
@@ -82,6 +83,7 @@
                     String id = String.format("%016x", number.incrementAndGet());
                     Course c = new Course();
                     courses.put(id, c);
+                    Rig.log("request %s is sent", id);
                     boolean leaves = leaving.get() && ThreadLocalRandom.current().nextDouble() < LEAVING_SHARE;
                     try (Socket s = new Socket()) {
                         s.connect(new InetSocketAddress(Rig.LOOPBACK, port), 1_000);
@@ -95,7 +97,9 @@
                             s.close();
                             c.left = System.nanoTime();
                         } else {
-                            served.addAndGet(Rig.readAnswer(s.getInputStream(), false).status == 200 ? 1 : 0);
+                            int status = Rig.readAnswer(s.getInputStream(), false).status;
+                            Rig.log("request %s is answered %d", id, status);
+                            served.addAndGet(status == 200 ? 1 : 0);
                         }
                     } catch (IOException e) {
                         Rig.log("request %s: %s", id, e);
